--- /dev/null
+++ b/Makefile
@@ -0,0 +1,45 @@
+# Targets:
+#   build    the three programs in bin/
+#   test     all tests, with the race detector
+#   demo     the whole system on stand-ins, serving requests of every kind
+#   measure  the comparisons of routing policies
+#   fuzz     the stateful fuzz tests with many more steps
+#   bench    the benchmarks
+#   lint     formatter and linters
+GO ?= go
+MODULES := serving entry ctl standin
+PACKAGES := $(MODULES:%=./%/...)
+# FUZZ_CHECKS is the number of runs of each stateful fuzz test under "make fuzz".
+FUZZ_CHECKS ?= 5000
+
+.PHONY: all build test demo measure fuzz bench lint tools
+
+all: build
+
+build:
+	$(GO) build -o bin/papayaport ./entry
+	$(GO) build -o bin/papayactl ./ctl
+	$(GO) build -o bin/standin ./standin
+
+test: build
+	$(GO) test -race -timeout 600s $(PACKAGES)
+
+demo: build
+	bin/standin demo --bin bin
+
+measure: build
+	bin/standin measure --bin bin
+
+fuzz:
+	$(GO) test -timeout 3600s -run 'Fuzz|Stateful' ./serving/... -rapid.checks=$(FUZZ_CHECKS)
+
+bench:
+	$(GO) test -run '^$$' -bench . -benchmem ./serving/... ./entry/...
+
+tools:
+	GOWORK=off $(GO) install mvdan.cc/gofumpt@v0.12.0
+	GOWORK=off $(GO) install honnef.co/go/tools/cmd/staticcheck@v0.8.2
+	GOWORK=off $(GO) install github.com/mgechev/revive@v1.17.0
+
+lint:
+	.ci/lint
--- /dev/null
+++ b/ctl/main.go
@@ -0,0 +1,4 @@
+// Command papayactl is the command line of the operators.
+package main
+
+func main() {}
--- /dev/null
+++ b/standin/main.go
@@ -0,0 +1,4 @@
+// Command standin runs the stand-ins of the systems around papayaport.
+package main
+
+func main() {}
