Add the routing table

Chooses backend servers by estimated time to first token and price; the usual policies stand beside it for comparison.

--- /dev/null
+++ b/serving/request/route/attempt.go
@@ -0,0 +1,142 @@
+package route
+
+import (
+	"sort"
+	"time"
+)
+
+// attempt is one request sent to one backend server and not finished.
+type attempt struct {
+	backend   *backend
+	sentAt    time.Time
+	lastToken time.Time
+	estimated time.Duration
+	// prefill is the number of prompt tokens that count as waiting at the server.
+	prefill int
+	started bool
+}
+
+// maxSpare bounds the finished attempts that are kept for reuse.
+const maxSpare = 1024
+
+// Sent notes that an attempt went out to the chosen backend server, which will hold the
+// prompt's blocks from now on. An attempt id that is in use already is ignored.
+func (t *Table) Sent(now time.Time, id string, choice Choice, request Request) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	b := t.backends[choice.Backend.ID]
+	if b == nil || b.Incarnation != choice.Backend.Incarnation || t.attempts[id] != nil {
+		return
+	}
+	a := t.takeAttempt()
+	*a = attempt{
+		backend:   b,
+		sentAt:    now,
+		estimated: choice.mean,
+		prefill:   max(request.PromptTokens-choice.CachedTokens, 0),
+	}
+	t.attempts[id] = a
+	if b.inFlight == 0 {
+		b.health.progress = now
+	}
+	b.inFlight++
+	b.prefillTokens += a.prefill
+	if b.reported {
+		b.unsettled.add(now, a.prefill)
+	}
+	if t.parts.prefix {
+		b.group.known.storeAll(request.Blocks, b.column)
+	}
+}
+
+// takeAttempt returns an attempt record.
+func (t *Table) takeAttempt() *attempt {
+	last := len(t.spare) - 1
+	if last < 0 {
+		return &attempt{}
+	}
+	a := t.spare[last]
+	t.spare = t.spare[:last]
+	return a
+}
+
+// FirstToken notes the first token of an attempt and the prompt tokens that the server
+// had cached, below 0 when it didn't say.
+func (t *Table) FirstToken(now time.Time, id string, _ int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	a := t.attempts[id]
+	if a == nil || a.started {
+		return
+	}
+	a.start()
+	a.lastToken = now
+	a.backend.health.progress = now
+	a.backend.observed.add(now, now.Sub(a.sentAt), a.estimated)
+}
+
+// start ends the prefill of an attempt.
+func (a *attempt) start() {
+	if a.started {
+		return
+	}
+	a.started = true
+	a.backend.prefillTokens -= a.prefill
+}
+
+// Token notes a further token of an attempt.
+func (t *Table) Token(now time.Time, id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	a := t.attempts[id]
+	if a == nil {
+		return
+	}
+	a.backend.health.progress = now
+	if a.started {
+		a.backend.observed.addBetween(now.Sub(a.lastToken))
+	}
+	a.lastToken = now
+}
+
+// Done notes the end of an attempt and the prompt tokens that the server computed,
+// below 0 when it didn't say.
+func (t *Table) Done(now time.Time, id string, result Result, _ int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	a := t.attempts[id]
+	if a == nil {
+		return
+	}
+	delete(t.attempts, id)
+	b := a.backend
+	if !a.started && result == OK {
+		b.observed.add(now, now.Sub(a.sentAt), a.estimated)
+	}
+	a.start()
+	b.inFlight--
+	if b.reported {
+		b.unsettled.finish(now)
+	}
+	b.health.progress = now
+	b.health.add(now, result, t.random)
+	if len(t.spare) < maxSpare {
+		t.spare = append(t.spare, a)
+	}
+}
+
+// OnBackend returns the ids of the attempts on the known incarnation of a backend server,
+// in order; on any incarnation when the server is no longer known.
+func (t *Table) OnBackend(id string) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	b := t.backends[id]
+	var ids []string
+	for attemptID, a := range t.attempts {
+		if a.backend == b || (b == nil && a.backend.ID == id) {
+			ids = append(ids, attemptID)
+		}
+	}
+	sort.Strings(ids)
+	return ids
+}
--- /dev/null
+++ b/serving/request/route/table.go
@@ -0,0 +1,254 @@
+package route
+
+import (
+	"math/rand/v2"
+	"sort"
+	"sync"
+	"time"
+
+	"papayaport.dev/serving/connection/engine"
+	"papayaport.dev/serving/process/membership"
+	"papayaport.dev/serving/request/prefix"
+)
+
+// leavingMemory is how long a leaving mark outlives the deadline of its notice, so that
+// a lagging instance list doesn't bring the server back.
+const leavingMemory = 10 * time.Minute
+
+// leavingMark tells that every incarnation up to Incarnation is leaving.
+type leavingMark struct {
+	incarnation uint64
+	deadline    time.Time
+}
+
+// Table holds the backend servers of all services as one entry instance knows them.
+type Table struct {
+	mu       sync.Mutex
+	self     Self
+	policy   Policy
+	parts    parts
+	random   *rand.Rand
+	backends map[string]*backend
+	groups   map[string]*group
+	leaving  map[string]leavingMark
+	attempts map[string]*attempt
+	spare    []*attempt
+	// candidates and barred are reused by Choose.
+	candidates []Candidate
+	barred     []Candidate
+}
+
+// New returns an empty table that chooses by the named policy.
+func New(self Self, policy string, random *rand.Rand) (*Table, error) {
+	found, err := findVariant(policy)
+	if err != nil {
+		return nil, err
+	}
+	return &Table{
+		self:     self,
+		policy:   found.policy(),
+		parts:    found.parts,
+		random:   random,
+		backends: map[string]*backend{},
+		groups:   map[string]*group{},
+		leaving:  map[string]leavingMark{},
+		attempts: map[string]*attempt{},
+	}, nil
+}
+
+// SetBackends replaces the set of backend servers. A new incarnation under a known id
+// starts without history; an older one than known is ignored. Servers that are missing
+// get no new work, and attempts on them go on.
+func (t *Table) SetBackends(now time.Time, list []Backend) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	listed := make(map[string]bool, len(list))
+	for _, b := range list {
+		listed[b.ID] = true
+		t.set(b)
+	}
+	for id, b := range t.backends {
+		if !listed[id] {
+			b.group.remove(b)
+			delete(t.backends, id)
+		}
+	}
+	for id, mark := range t.leaving {
+		if !listed[id] && now.After(mark.deadline.Add(leavingMemory)) {
+			delete(t.leaving, id)
+		}
+	}
+}
+
+// set adds or updates one backend server.
+func (t *Table) set(b Backend) {
+	known := t.backends[b.ID]
+	if known != nil && b.Incarnation < known.Incarnation {
+		return
+	}
+	if known != nil && b.Incarnation == known.Incarnation && b.Service == known.Service {
+		known.Backend = b
+		return
+	}
+	if known != nil {
+		known.group.remove(known)
+	}
+	added := &backend{Backend: b, hash: hashID(b.ID), nextEvent: 1}
+	if mark, ok := t.leaving[b.ID]; ok && b.Incarnation <= mark.incarnation {
+		added.leaving, added.deadline = true, mark.deadline
+	}
+	t.backends[b.ID] = added
+	t.group(b.Service).add(added)
+}
+
+// group returns the group of a service.
+func (t *Table) group(service string) *group {
+	g := t.groups[service]
+	if g == nil {
+		g = newGroup()
+		t.groups[service] = g
+	}
+	return g
+}
+
+// Leaving notes that an incarnation of a backend server goes at the deadline. It gets no
+// new work from then on, and nothing but a higher incarnation ends that. Of several
+// deadlines the earliest counts.
+func (t *Table) Leaving(_ time.Time, id string, incarnation uint64, deadline time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	mark, ok := t.leaving[id]
+	switch {
+	case ok && incarnation < mark.incarnation:
+		return
+	case ok && incarnation == mark.incarnation && !deadline.Before(mark.deadline):
+		return
+	}
+	t.leaving[id] = leavingMark{incarnation, deadline}
+	if b := t.backends[id]; b != nil && b.Incarnation <= incarnation {
+		b.leaving, b.deadline = true, deadline
+	}
+}
+
+// IsLeaving tells whether the known incarnation of a backend server is leaving, and when.
+func (t *Table) IsLeaving(id string) (deadline time.Time, leaving bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	b := t.backends[id]
+	if b == nil {
+		return time.Time{}, false
+	}
+	return b.deadline, b.leaving
+}
+
+// Report takes in a server's report on itself. Reports of other incarnations and reports
+// older than the last are ignored.
+func (t *Table) Report(now time.Time, id string, load engine.Load) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	b := t.backends[id]
+	if b == nil || (load.Incarnation != 0 && load.Incarnation != b.Incarnation) {
+		return
+	}
+	moment := now.Add(-time.Duration(load.AgeMS) * time.Millisecond)
+	if b.reported && moment.Before(b.reportedAt) {
+		return
+	}
+	b.load, b.reportedAt, b.reported = load, moment, true
+	b.unsettled.settle(moment)
+}
+
+// Peers takes in the work that the other entry instances have at the backend servers.
+func (t *Table) Peers(now time.Time, totals membership.Totals) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id, b := range t.backends {
+		b.peers, b.peersAt = totals.ByBackend[id], now
+	}
+}
+
+// CacheCursor returns the sequence after which the next cache events of a server are
+// wanted, and whether a snapshot is needed.
+func (t *Table) CacheCursor(id string) (after uint64, needSnapshot bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	b := t.backends[id]
+	if b == nil {
+		return 0, false
+	}
+	return b.nextEvent - 1, b.stale
+}
+
+// CacheEvents takes in a server's cache events and tells whether some are missing, so
+// that a snapshot is needed. Until it comes, expected hits on the server count less.
+func (t *Table) CacheEvents(_ time.Time, id string, events engine.CacheEvents) (needSnapshot bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	b := t.backends[id]
+	if b == nil || (events.Incarnation != 0 && events.Incarnation != b.Incarnation) {
+		return false
+	}
+	if events.Snapshot != nil {
+		b.replaceCache(events)
+		return false
+	}
+	for _, event := range events.Events {
+		b.applyCacheEvent(event)
+	}
+	if events.Next > b.nextEvent {
+		b.stale = true
+		b.nextEvent = events.Next
+	}
+	return b.stale
+}
+
+// replaceCache replaces what is known of a server's cache by a snapshot.
+func (b *backend) replaceCache(events engine.CacheEvents) {
+	known := b.group.known
+	known.clear(b.column)
+	for _, block := range events.Snapshot {
+		known.store(prefix.Block(block), b.column)
+	}
+	b.stale = false
+	b.nextEvent = max(events.Next, 1)
+}
+
+// applyCacheEvent takes in one event; doubled ones are skipped.
+func (b *backend) applyCacheEvent(event engine.CacheEvent) {
+	if event.Sequence < b.nextEvent {
+		return
+	}
+	b.stale = b.stale || event.Sequence > b.nextEvent
+	b.nextEvent = event.Sequence + 1
+	if event.Stored {
+		b.group.known.store(prefix.Block(event.Block), b.column)
+		return
+	}
+	b.group.known.drop(prefix.Block(event.Block), b.column)
+}
+
+// Use returns the work that this entry instance has at the backend servers, by id.
+func (t *Table) Use() []membership.BackendUse {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	use := make([]membership.BackendUse, 0, len(t.backends))
+	for id, b := range t.backends {
+		if b.inFlight == 0 {
+			continue
+		}
+		use = append(use, membership.BackendUse{Backend: id, InFlight: b.inFlight, PrefillTokens: b.prefillTokens})
+	}
+	sort.Slice(use, func(i, j int) bool { return use[i].Backend < use[j].Backend })
+	return use
+}
+
+// Backend returns a known backend server.
+func (t *Table) Backend(id string) (Backend, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	b := t.backends[id]
+	if b == nil {
+		return Backend{}, false
+	}
+	return b.Backend, true
+}
