--- /dev/null
+++ b/serving/process/reclaim/plan.go
@@ -0,0 +1,261 @@
+package reclaim
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// finishMargin is kept between the expected end of a request and the server's end.
+	finishMargin = 2 * time.Second
+	// finishFactor covers that answers get longer than expected.
+	finishFactor = 1.5
+	// exportMargin is kept between the end of an export and the server's end.
+	exportMargin = 500 * time.Millisecond
+	// lastCall is the time before the server's end at which requests move even to
+	// receivers without a free slot.
+	lastCall = time.Second
+	// smallestSave is the size below which a prefix is not worth a transfer, in tokens.
+	smallestSave = 128
+)
+
+// planner holds what a plan has used up so far.
+type planner struct {
+	now       time.Time
+	leaving   map[string]*source
+	receivers []*target
+	domains   map[string]*domain
+	orders    []Order
+}
+
+// source is a leaving server with the time that its exports have taken so far.
+type source struct {
+	Leaving
+	busyUntil time.Time
+}
+
+// target is a receiver with what the plan has given it so far.
+type target struct {
+	Receiver
+	domain *domain
+	given  int
+}
+
+// domain is the receivers of one service in one failure domain together.
+type domain struct {
+	slots int
+	given int
+}
+
+// load returns the share of the domain's free slots that the plan has given away.
+func (d *domain) load() float64 { return float64(d.given) / float64(max(d.slots, 1)) }
+
+// Plan returns what to do with the work and the caches of the leaving servers. Requests
+// come first, ordered by priority, deadline and tokens that a lost cache would cost;
+// prefixes follow by value for the time that is left.
+func Plan(now time.Time, in Input) []Order {
+	p := &planner{now: now, leaving: make(map[string]*source, len(in.Leaving)), domains: map[string]*domain{}}
+	for _, l := range in.Leaving {
+		p.leaving[l.Backend] = &source{Leaving: l, busyUntil: now}
+	}
+	for _, r := range in.Receivers {
+		if p.leaving[r.Backend] == nil {
+			p.addReceiver(r)
+		}
+	}
+	for _, w := range byUrgency(in.Work) {
+		p.planWork(w)
+	}
+	for _, c := range p.byValue(in.Cached) {
+		p.planSave(c)
+	}
+	return p.orders
+}
+
+// addReceiver adds a receiver to its failure domain.
+func (p *planner) addReceiver(r Receiver) {
+	key := r.Service + "/" + r.FailureDomain
+	d := p.domains[key]
+	if d == nil {
+		d = &domain{}
+		p.domains[key] = d
+	}
+	d.slots += r.FreeSlots
+	p.receivers = append(p.receivers, &target{Receiver: r, domain: d})
+}
+
+// byUrgency returns the work in the order in which it moves.
+func byUrgency(work []Work) []Work {
+	sorted := slices.Clone(work)
+	slices.SortStableFunc(sorted, func(a, b Work) int {
+		return cmp.Or(
+			cmp.Compare(b.Priority, a.Priority),
+			compareDeadlines(a.Deadline, b.Deadline),
+			cmp.Compare(b.atStake(), a.atStake()),
+			cmp.Compare(a.RequestID, b.RequestID),
+		)
+	})
+	return sorted
+}
+
+// compareDeadlines puts the earlier deadline first and none last.
+func compareDeadlines(a, b time.Time) int {
+	switch {
+	case a.IsZero() && b.IsZero():
+		return 0
+	case a.IsZero():
+		return 1
+	case b.IsZero():
+		return -1
+	}
+	return a.Compare(b)
+}
+
+// byValue returns the prefixes in the order in which they are saved: by the tokens that
+// later requests are spared a second for each byte moved, then by size.
+func (p *planner) byValue(cached []Cached) []Cached {
+	sorted := slices.Clone(cached)
+	slices.SortStableFunc(sorted, func(a, b Cached) int {
+		return cmp.Or(
+			cmp.Compare(p.value(b), p.value(a)),
+			cmp.Compare(b.Tokens, a.Tokens),
+			cmp.Compare(a.Block, b.Block),
+		)
+	})
+	return sorted
+}
+
+// value returns the tokens spared a second for each byte of a prefix.
+func (p *planner) value(c Cached) float64 {
+	from := p.leaving[c.Backend]
+	if from == nil || from.BytesPerToken <= 0 {
+		return c.HitsPerSecond
+	}
+	return c.HitsPerSecond / from.BytesPerToken
+}
+
+// atStake returns the tokens that are computed anew when the request's cache is lost.
+func (w Work) atStake() int { return w.PromptTokens + w.GeneratedTokens }
+
+// planWork orders what happens to one request.
+func (p *planner) planWork(w Work) {
+	from := p.leaving[w.Backend]
+	if from == nil || w.Moving {
+		return
+	}
+	if from.finishes(p.now, w) || !w.Idempotent {
+		p.order(Order{Kind: Finish, RequestID: w.RequestID, From: w.Backend})
+		return
+	}
+	to := p.receiver(w.Service, from)
+	if to == nil {
+		p.order(Order{Kind: Wait, RequestID: w.RequestID, From: w.Backend, StartBy: from.Deadline})
+		return
+	}
+	to.give(1)
+	order := Order{Kind: Resume, RequestID: w.RequestID, From: w.Backend, To: to.Backend, Tokens: w.atStake(), StartBy: from.Deadline}
+	if to.Imports && to.FreeCacheTokens >= w.atStake() && from.export(w.atStake()) {
+		to.FreeCacheTokens -= w.atStake()
+		order.Kind = Transfer
+		order.StartBy = from.Deadline.Add(-exportMargin - from.exportTime(w.atStake()))
+	}
+	p.order(order)
+}
+
+// planSave orders the copy of one prefix when there is time and room.
+func (p *planner) planSave(c Cached) {
+	from := p.leaving[c.Backend]
+	if from == nil || c.Elsewhere || c.Tokens < smallestSave || c.HitsPerSecond <= 0 {
+		return
+	}
+	to := p.cache(c.Service, c.Tokens)
+	if to == nil || !from.export(c.Tokens) {
+		return
+	}
+	to.FreeCacheTokens -= c.Tokens
+	to.given++
+	to.domain.given++
+	p.order(Order{
+		Kind: Save, Block: c.Block, From: c.Backend, To: to.Backend, Tokens: c.Tokens,
+		StartBy: from.Deadline.Add(-exportMargin - from.exportTime(c.Tokens)),
+	})
+}
+
+// order adds one step to the plan.
+func (p *planner) order(o Order) { p.orders = append(p.orders, o) }
+
+// finishes tells whether a request is expected to end well before its server.
+func (s *source) finishes(now time.Time, w Work) bool {
+	left := time.Duration(finishFactor * float64(w.RemainingTokens) * float64(s.DecodePerToken))
+	return now.Add(left + finishMargin).Before(s.Deadline)
+}
+
+// exportTime returns the time to export the KV cache of a number of tokens.
+func (s *source) exportTime(tokens int) time.Duration {
+	return time.Duration(float64(tokens) * s.BytesPerToken / s.BytesPerSecond * float64(time.Second))
+}
+
+// export reserves the time for an export and tells whether it ends before the server.
+func (s *source) export(tokens int) bool {
+	if !s.Exports || s.BytesPerSecond <= 0 {
+		return false
+	}
+	end := s.busyUntil.Add(s.exportTime(tokens))
+	if end.After(s.Deadline.Add(-exportMargin)) {
+		return false
+	}
+	s.busyUntil = end
+	return true
+}
+
+// receiver returns the server that takes a request: one with a free slot, or any when the
+// leaving server is about to go.
+func (p *planner) receiver(service string, from *source) *target {
+	if to := p.best(service, func(t *target) bool { return t.FreeSlots > 0 }); to != nil {
+		return to
+	}
+	if p.now.Add(lastCall).Before(from.Deadline) {
+		return nil
+	}
+	return p.best(service, func(*target) bool { return true })
+}
+
+// cache returns the server that takes a saved prefix.
+func (p *planner) cache(service string, tokens int) *target {
+	return p.best(service, func(t *target) bool { return t.Imports && t.FreeCacheTokens >= tokens })
+}
+
+// best returns the best of the receivers of a service that have room: the failure domain
+// that got least for its room, then the server that got least, with most free slots, and
+// at the lowest price.
+func (p *planner) best(service string, hasRoom func(*target) bool) *target {
+	var best *target
+	for _, t := range p.receivers {
+		if t.Service != service || !hasRoom(t) {
+			continue
+		}
+		if best == nil || compareTargets(t, best) < 0 {
+			best = t
+		}
+	}
+	return best
+}
+
+// give notes that a receiver takes a number of requests.
+func (t *target) give(count int) {
+	t.FreeSlots -= count
+	t.given += count
+	t.domain.given += count
+}
+
+// compareTargets puts the better receiver first.
+func compareTargets(a, b *target) int {
+	return cmp.Or(
+		cmp.Compare(a.domain.load(), b.domain.load()),
+		cmp.Compare(a.given, b.given),
+		cmp.Compare(b.FreeSlots, a.FreeSlots),
+		cmp.Compare(a.PricePerHour, b.PricePerHour),
+		cmp.Compare(a.Backend, b.Backend),
+	)
+}
