Add records of keyed non-idempotent requests

A caller's repeat reaches any entry instance, so which of them may run a keyed request has to be decided in one place. The record of a key lives in one page of the key-value service, named by the key's own timestamp, and a compare-and-swap of that page decides. Table holds the decisions, Keeper carries them out.

--- /dev/null
+++ b/serving/request/action/action.go
@@ -0,0 +1,116 @@
+// Package action keeps the records of keyed non-idempotent requests, so that a request
+// with an idempotency key runs at most once over all entry instances and its repeats
+// get the first run's answer.
+//
+// A key is a UUIDv7: its own timestamp names the time bucket of its record, so exactly
+// one page of the key-value service decides about it, and a key older than the retry
+// window is refused instead of run as new. A claim on a key is a compare-and-swap of
+// its page; one swap carries the claims and outcomes of many keys. Entry instances pass
+// their claims to the page's usual writer, chosen by rendezvous hash, and write
+// themselves when it can't be reached: only the swap decides, the usual writer saves
+// calls. A claim that was granted is never taken over. Only its holder, in the same
+// incarnation, can say that it did not run.
+//
+// Table holds all decisions and does no I/O. Keeper carries out its orders. The
+// Keeper's mutex is the only lock; it is held while the table decides and never during
+// I/O.
+//
+// # Usage
+//
+//	keeper := action.New(store, peers, self, live, action.DefaultSettings(), rng, log)
+//	group.Go(func() error { return keeper.Run(ctx) })
+//
+//	ticket, err := keeper.Claim(ctx, action.Claim{...}) // err is a *problem.Error
+//	if ticket.Answer != nil {
+//		// a repeat: give the recorded answer
+//	}
+//	if err := ticket.Sent(); err != nil {
+//		// the ticket is used up: don't send
+//	}
+//	// send, then exactly one of
+//	ticket.Finish(action.Done, &answer)
+//	ticket.Finish(action.Unknown, nil)
+//	ticket.NotRun()
+package action
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"net/http"
+	"time"
+)
+
+// Member names one process of an entry instance.
+type Member struct {
+	Instance    string `cbor:"1,keyasint"`
+	Incarnation uint64 `cbor:"2,keyasint"`
+}
+
+// Self names the entry instance that a Keeper runs in.
+type Self struct {
+	Instance      string
+	Incarnation   uint64
+	FailureDomain string
+}
+
+// Member returns the name of this process.
+func (s Self) Member() Member { return Member{Instance: s.Instance, Incarnation: s.Incarnation} }
+
+// Fingerprint tells requests with the same key apart.
+type Fingerprint uint64
+
+// FingerprintOf returns the fingerprint of a request.
+func FingerprintOf(method, path string, body []byte) Fingerprint {
+	digest := sha256.New()
+	for _, part := range []string{method, path} {
+		_, _ = digest.Write(binary.AppendUvarint(nil, uint64(len(part))))
+		_, _ = digest.Write([]byte(part))
+	}
+	_, _ = digest.Write(body)
+	return Fingerprint(binary.BigEndian.Uint64(digest.Sum(nil)))
+}
+
+// Claim asks for the right to run a keyed request.
+type Claim struct {
+	Service string
+	Account string
+	// Key is the text of a UUIDv7.
+	Key         string
+	Fingerprint Fingerprint
+	// Window is the service's retry window. It is cut to Settings.Retention.
+	Window time.Duration
+}
+
+// Outcome tells what is recorded about a claim.
+type Outcome uint8
+
+// Outcomes.
+const (
+	// Claimed means that the holder may be sending the request.
+	Claimed Outcome = iota
+	// Done means that the request ran and was answered.
+	Done
+	// Unknown means that the request may have run and its answer is lost.
+	Unknown
+	// NotRun means that the request was not run under this claim and never will be.
+	NotRun
+)
+
+// Answer is what a backend server answered.
+type Answer struct {
+	Status int         `cbor:"1,keyasint"`
+	Header http.Header `cbor:"2,keyasint,omitempty"`
+	Body   []byte      `cbor:"3,keyasint,omitempty"`
+}
+
+// size returns the approximate length of the encoded answer in bytes.
+func (a *Answer) size() int {
+	size := len(a.Body)
+	for name, values := range a.Header {
+		size += len(name)
+		for _, value := range values {
+			size += len(value) + 2
+		}
+	}
+	return size
+}
--- /dev/null
+++ b/serving/request/action/await.go
@@ -0,0 +1,110 @@
+package action
+
+import "time"
+
+// await waits for the outcome of another claim on the same key.
+func (t *Table) await(now time.Time, p *pending, target Record) {
+	if !p.target.sameClaim(target) {
+		p.ownerGone = false
+	}
+	p.state = awaiting
+	p.target = target
+	p.retryAt = time.Time{}
+	if target.Owner == t.self.Member() {
+		t.awaitHere(now, p)
+		return
+	}
+	wait := min(t.settings.AnswerWait, p.deadline.Sub(now))
+	query := Query{Kind: AnswerQuery, Page: p.key.page, Record: stub(target), WaitMS: wait.Milliseconds()}
+	t.call(call{kind: AnswerQuery, claim: p.nonce, to: target.Owner}, query, wait+t.settings.PeerTimeout)
+}
+
+// stub returns what names a claim.
+func stub(record Record) Record {
+	return Record{Hash: record.Hash, Owner: record.Owner, Nonce: record.Nonce}
+}
+
+func (t *Table) awaitHere(now time.Time, p *pending) {
+	reply := t.answerOf(p.target.Nonce)
+	if reply.State == InProgress {
+		t.waiters[p.target.Nonce] = append(t.waiters[p.target.Nonce], waiter{claim: p.nonce})
+		return
+	}
+	t.answered(now, p, reply)
+}
+
+// answered goes on with a claim after its target's holder has replied.
+func (t *Table) answered(now time.Time, p *pending, reply Reply) {
+	switch reply.State {
+	case Finished:
+		t.finished(now, p, reply.Record)
+	case NeverRuns:
+		t.neverRuns(now, p)
+	case Replaced:
+		p.ownerGone = true
+		t.recheck(p)
+	default:
+		p.retryAt = now.Add(t.jitter(t.settings.RetryInterval))
+	}
+}
+
+func (t *Table) finished(now time.Time, p *pending, record Record) {
+	switch {
+	case record.Outcome == NotRun:
+		t.neverRuns(now, p)
+	case record.Outcome == Unknown:
+		t.end(now, p, nil, answerLost())
+	case record.Answer == nil:
+		t.end(now, p, nil, answerForgotten(record.Status))
+	default:
+		t.end(now, p, record.Answer, nil)
+	}
+}
+
+// neverRuns claims the key in place of a claim that was never sent. The page decides:
+// if the record there has an outcome meanwhile, it stays.
+func (t *Table) neverRuns(now time.Time, p *pending) {
+	if p.target.Outcome == Done {
+		t.end(now, p, nil, answerForgotten(p.target.Status))
+		return
+	}
+	p.replaces = p.target.Nonce
+	t.write(now, p)
+}
+
+// recheck reads the page after the holder couldn't be asked: it may have written its
+// outcome before it went.
+func (t *Table) recheck(p *pending) {
+	p.state = rechecking
+	t.order(Read{Page: p.key.page, Claim: p.nonce})
+}
+
+// ReadDone takes the result of a Read order.
+func (t *Table) ReadDone(now time.Time, order Read, result StoreResult) []Order {
+	state := t.page(order.Page)
+	if result.State == StoreOK {
+		state.learn(result)
+	}
+	if p := t.pending[order.Claim]; p != nil && p.state == rechecking {
+		t.rechecked(now, p, state)
+	}
+	return t.take()
+}
+
+func (t *Table) rechecked(now time.Time, p *pending, state *pageState) {
+	record, found := state.records[p.key.hash]
+	if found && (record.Outcome != p.target.Outcome || !record.sameClaim(p.target)) {
+		t.decide(now, p, record)
+		return
+	}
+	if !p.ownerGone && !t.members.gone(p.target.Owner) {
+		p.state = awaiting
+		p.retryAt = now.Add(t.jitter(t.settings.RetryInterval))
+		return
+	}
+	if p.target.Outcome == Done {
+		t.end(now, p, nil, answerForgotten(p.target.Status))
+		return
+	}
+	t.end(now, p, nil, answerLost())
+}
--- /dev/null
+++ b/serving/request/action/members.go
@@ -0,0 +1,80 @@
+package action
+
+import (
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// members are the other entry instances as this one sees them.
+type members struct {
+	self   Member
+	others []Member
+	// lostAt is when an incarnation was last seen to vanish.
+	lostAt time.Time
+	// avoided are members that failed to write lately, until the given time.
+	avoided map[Member]time.Time
+}
+
+func (m *members) update(now time.Time, self Member, live []Member) {
+	others := make([]Member, 0, len(live))
+	for _, member := range live {
+		if member.Instance != self.Instance {
+			others = append(others, member)
+		}
+	}
+	slices.SortFunc(others, compareMembers)
+	for _, member := range m.others {
+		if !slices.Contains(others, member) {
+			m.lostAt = now
+			delete(m.avoided, member)
+		}
+	}
+	m.self = self
+	m.others = others
+}
+
+func compareMembers(a, b Member) int {
+	if order := strings.Compare(a.Instance, b.Instance); order != 0 {
+		return order
+	}
+	return int(min(max(int64(a.Incarnation-b.Incarnation), -1), 1))
+}
+
+// gone tells whether a process is neither listed nor heard of. A list that still
+// shows an older incarnation lags.
+func (m *members) gone(process Member) bool {
+	if process == m.self {
+		return false
+	}
+	for _, member := range m.others {
+		if member.Instance == process.Instance && member.Incarnation <= process.Incarnation {
+			return false
+		}
+	}
+	return true
+}
+
+func (m *members) avoid(member Member, until time.Time) { m.avoided[member] = until }
+
+// writer returns the usual writer of a page: the member with the highest hash of page
+// and member (rendezvous hashing), without those that failed lately.
+func (m *members) writer(now time.Time, page PageName) Member {
+	best, bestScore := m.self, score(page, m.self)
+	for _, member := range m.others {
+		if now.Before(m.avoided[member]) {
+			continue
+		}
+		if s := score(page, member); s > bestScore {
+			best, bestScore = member, s
+		}
+	}
+	return best
+}
+
+func score(page PageName, member Member) uint64 {
+	return xxhash.Sum64String(string(page) + "\x00" + member.Instance + "\x00" + strconv.FormatUint(member.Incarnation, 10))
+}
--- /dev/null
+++ b/serving/request/action/page.go
@@ -0,0 +1,80 @@
+package action
+
+import (
+	"bytes"
+	"slices"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+)
+
+// page is the stored form of the records of one page. Owners are kept once.
+type page struct {
+	Owners  []Member `cbor:"1,keyasint"`
+	Records []row    `cbor:"2,keyasint"`
+}
+
+// row is the stored form of a record. Owner is an index into page.Owners.
+type row struct {
+	_           struct{} `cbor:",toarray"`
+	Hash        []byte
+	Owner       int
+	Nonce       uint64
+	Fingerprint uint64
+	Outcome     uint8
+	Status      int
+	Answer      *Answer
+}
+
+// encode returns the stored form; equal records give equal bytes.
+func (r records) encode() ([]byte, error) {
+	stored := page{Records: make([]row, 0, len(r))}
+	indexes := map[Member]int{}
+	for _, hash := range r.hashes() {
+		record := r[hash]
+		index, known := indexes[record.Owner]
+		if !known {
+			index = len(stored.Owners)
+			indexes[record.Owner] = index
+			stored.Owners = append(stored.Owners, record.Owner)
+		}
+		stored.Records = append(stored.Records, row{
+			Hash: hash[:], Owner: index, Nonce: record.Nonce, Fingerprint: uint64(record.Fingerprint),
+			Outcome: uint8(record.Outcome), Status: record.Status, Answer: record.Answer,
+		})
+	}
+	data, err := cbor.Marshal(stored)
+	return data, errors.Wrap(err, "encode page")
+}
+
+func (r records) hashes() []Hash {
+	hashes := make([]Hash, 0, len(r))
+	for hash := range r {
+		hashes = append(hashes, hash)
+	}
+	slices.SortFunc(hashes, func(a, b Hash) int { return bytes.Compare(a[:], b[:]) })
+	return hashes
+}
+
+// decode reads the stored form of a page. No bytes are an empty page.
+func decode(data []byte) (records, error) {
+	if len(data) == 0 {
+		return records{}, nil
+	}
+	var stored page
+	if err := cbor.Unmarshal(data, &stored); err != nil {
+		return nil, errors.Wrap(err, "decode page")
+	}
+	decoded := make(records, len(stored.Records))
+	for _, r := range stored.Records {
+		if len(r.Hash) != len(Hash{}) || r.Owner < 0 || r.Owner >= len(stored.Owners) || r.Outcome > uint8(NotRun) {
+			return nil, errors.New("decode page: a record is malformed")
+		}
+		hash := Hash(r.Hash)
+		decoded[hash] = Record{
+			Hash: hash, Owner: stored.Owners[r.Owner], Nonce: r.Nonce, Fingerprint: Fingerprint(r.Fingerprint),
+			Outcome: Outcome(r.Outcome), Status: r.Status, Answer: r.Answer,
+		}
+	}
+	return decoded, nil
+}
--- /dev/null
+++ b/serving/request/action/peers.go
@@ -0,0 +1,189 @@
+package action
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// avoidTime is how long a member isn't asked to write after it failed to.
+	avoidTime = 2 * time.Second
+	// maxPolled is the largest number of members that are asked about one key.
+	maxPolled = 64
+)
+
+// call is a query to a peer without a reply yet.
+type call struct {
+	kind   QueryKind
+	to     Member
+	page   PageName
+	change *change
+	claim  uint64
+}
+
+func (t *Table) call(c call, query Query, timeout time.Duration) {
+	t.nextID++
+	t.calls[t.nextID] = c
+	query.To = c.to
+	t.order(Call{ID: t.nextID, To: c.to, Query: query, Timeout: timeout})
+}
+
+func (t *Table) callWriter(to Member, name PageName, c *change) {
+	wait := t.settings.PeerTimeout
+	query := Query{Kind: WriteQuery, Page: name, Record: c.record, Replaces: c.replaces, WaitMS: wait.Milliseconds()}
+	t.call(call{kind: WriteQuery, to: to, page: name, change: c}, query, 2*wait)
+}
+
+// CallDone takes the reply to a Call order, or the error of a call without one. A
+// second reply to the same order is ignored.
+func (t *Table) CallDone(now time.Time, id uint64, reply Reply, err error) []Order {
+	c, found := t.calls[id]
+	if !found {
+		return t.take()
+	}
+	delete(t.calls, id)
+	switch c.kind {
+	case WriteQuery:
+		t.writerReplied(now, c, reply, err)
+	case AnswerQuery:
+		t.holderReplied(now, c, reply, err)
+	case KnownQuery:
+		t.memberReplied(now, c, reply, err)
+	}
+	return t.take()
+}
+
+// writerReplied goes on with a change that was passed to the usual writer; without its
+// word the change is written from here. The writer may still write it: a claim has the
+// same nonce then, and an outcome is the same.
+func (t *Table) writerReplied(now time.Time, c call, reply Reply, err error) {
+	if err == nil && reply.State == Stands {
+		found := reply.Record.Hash == c.change.record.Hash
+		t.settle(now, c.page, c.change, reply.Record, found)
+		return
+	}
+	if err == nil && reply.State == Full {
+		t.refuseClaim(now, c.change)
+		return
+	}
+	t.members.avoid(c.to, now.Add(avoidTime))
+	c.change.sent = true
+	if t.wanted(c.change) {
+		t.submitHere(now, c.page, c.change)
+	}
+}
+
+func (t *Table) holderReplied(now time.Time, c call, reply Reply, err error) {
+	p := t.pending[c.claim]
+	if p == nil || p.state != awaiting {
+		return
+	}
+	if err != nil {
+		t.recheck(p)
+		return
+	}
+	t.answered(now, p, reply)
+}
+
+// Query takes a peer's query; id names it in the Respond order.
+func (t *Table) Query(now time.Time, id uint64, q Query) []Order {
+	wait := time.Duration(q.WaitMS) * time.Millisecond
+	t.queries[id] = now.Add(min(wait, t.settings.AnswerWait))
+	switch {
+	case q.To != t.self.Member():
+		t.respond(id, Reply{State: Replaced})
+	case q.Kind == WriteQuery:
+		t.writeFor(now, id, q)
+	case q.Kind == AnswerQuery:
+		t.answerFor(id, q.Record.Nonce)
+	case q.Kind == KnownQuery:
+		t.respond(id, t.known(q.Record.Hash))
+	default:
+		t.respond(id, Reply{State: Unwritten})
+	}
+	return t.take()
+}
+
+// CancelQuery forgets a query whose asker has gone.
+func (t *Table) CancelQuery(id uint64) {
+	t.dropQueryChange(id)
+	delete(t.queries, id)
+}
+
+func (t *Table) respond(id uint64, reply Reply) {
+	if _, waiting := t.queries[id]; !waiting {
+		return
+	}
+	delete(t.queries, id)
+	t.order(Respond{Query: id, Reply: reply})
+}
+
+func (t *Table) writeFor(now time.Time, id uint64, q Query) {
+	if !q.Page.valid() {
+		t.respond(id, Reply{State: Unwritten})
+		return
+	}
+	c := &change{record: q.Record, replaces: q.Replaces, query: id, due: now}
+	if !c.isClaim() {
+		c.due = now.Add(t.settings.OutcomeDelay)
+	}
+	t.submitHere(now, q.Page, c)
+}
+
+func (t *Table) answerFor(id, nonce uint64) {
+	reply := t.answerOf(nonce)
+	if reply.State == InProgress {
+		t.waiters[nonce] = append(t.waiters[nonce], waiter{query: id})
+		return
+	}
+	t.respond(id, reply)
+}
+
+// known tells whether this process has claimed a key or is about to.
+func (t *Table) known(hash Hash) Reply {
+	if h := t.holding[t.latest[hash]]; h != nil && h.record.Outcome != NotRun {
+		return t.holdingReply(h)
+	}
+	if t.waiting[hash] > 0 {
+		return Reply{State: InProgress}
+	}
+	return Reply{State: NoClaim}
+}
+
+// poll asks all other members about a key that can't be looked up in the store.
+func (t *Table) poll(p *pending) {
+	p.polling = true
+	p.ruledOut = map[Member]bool{}
+	if len(t.members.others) > maxPolled {
+		return
+	}
+	for _, member := range t.members.others {
+		query := Query{Kind: KnownQuery, Page: p.key.page, Record: Record{Hash: p.key.hash}}
+		t.call(call{kind: KnownQuery, claim: p.nonce, to: member}, query, t.settings.PeerTimeout)
+	}
+}
+
+func (t *Table) memberReplied(now time.Time, c call, reply Reply, err error) {
+	p := t.pending[c.claim]
+	if p == nil || err != nil {
+		return
+	}
+	switch {
+	case reply.State == NoClaim:
+		p.ruledOut[c.to] = true
+	case reply.State == Finished && p.state == writing && reply.Record.Fingerprint == p.claim.Fingerprint:
+		p.target = reply.Record
+		t.finished(now, p, reply.Record)
+	}
+}
+
+// mayHaveRun tells whether an earlier claim on the key can't be ruled out without the
+// store: every member must have said that it never claimed the key, and none may have
+// vanished since the key was made.
+func (t *Table) mayHaveRun(p *pending) bool {
+	since := p.key.created.Add(-t.settings.Skew)
+	if t.started.After(since) || t.members.lostAt.After(since) || t.waiting[p.key.hash] > 1 {
+		return true
+	}
+	return slices.ContainsFunc(t.members.others, func(m Member) bool { return !p.ruledOut[m] })
+}
--- /dev/null
+++ b/serving/request/action/pending.go
@@ -0,0 +1,175 @@
+package action
+
+import (
+	"time"
+
+	"papayaport.dev/serving/process/problem"
+)
+
+// waitState tells what a pending claim waits for.
+type waitState uint8
+
+const (
+	// writing waits for the claim to be written into its page.
+	writing waitState = iota
+	// awaiting waits for the answer of another claim on the same key.
+	awaiting
+	// rechecking waits for a read of the page after the other claim's holder couldn't be asked.
+	rechecking
+)
+
+// pending is a claim whose caller still waits to hear whether it holds the key.
+type pending struct {
+	claim    Claim
+	key      key
+	window   time.Duration
+	nonce    uint64
+	deadline time.Time
+	state    waitState
+	replaces uint64
+	// target is the record of the claim that is awaited.
+	target Record
+	// ownerGone tells that the holder of target is known to be gone.
+	ownerGone bool
+	retryAt   time.Time
+
+	// pollAt is when the other members are asked about the key while the store fails.
+	pollAt  time.Time
+	polling bool
+	// ruledOut are the members that said that they never claimed the key.
+	ruledOut map[Member]bool
+}
+
+func (p *pending) record(owner Member) Record {
+	return Record{Hash: p.key.hash, Owner: owner, Nonce: p.nonce, Fingerprint: p.claim.Fingerprint}
+}
+
+// Claim begins a claim whose caller waits until deadline. The claim's nonce names it in
+// Resolve orders.
+func (t *Table) Claim(now time.Time, c Claim, deadline time.Time) (uint64, []Order) {
+	nonce := t.newNonce()
+	t.begin(now, nonce, c, deadline)
+	return nonce, t.take()
+}
+
+func (t *Table) begin(now time.Time, nonce uint64, c Claim, deadline time.Time) {
+	parsed, err := parseKey(c)
+	window := min(c.Window, t.settings.Retention)
+	if err == nil {
+		err = parsed.checkAge(now, window, t.settings.Skew)
+	}
+	if err == nil && len(t.pending) >= t.settings.MaxWaiting {
+		err = problem.New(problem.QueueFull, "%d claims wait already", len(t.pending)).With(problem.Unknown)
+	}
+	if err != nil {
+		t.order(Resolve{Claim: nonce, Err: err})
+		return
+	}
+	p := &pending{claim: c, key: parsed, window: window, nonce: nonce, deadline: deadline}
+	p.pollAt = deadline.Add(-min(2*t.settings.PeerTimeout, deadline.Sub(now)/2))
+	t.pending[nonce] = p
+	t.waiting[parsed.hash]++
+	t.consider(now, p)
+}
+
+// consider decides by what is known here, and writes the claim if that decides nothing.
+func (t *Table) consider(now time.Time, p *pending) {
+	if own := t.holding[t.latest[p.key.hash]]; own != nil && own.record.Outcome != NotRun {
+		t.decide(now, p, own.record)
+		return
+	}
+	if record, found := t.page(p.key.page).records[p.key.hash]; found {
+		t.decide(now, p, record)
+		return
+	}
+	t.write(now, p)
+}
+
+func (t *Table) write(now time.Time, p *pending) {
+	p.state = writing
+	p.retryAt = time.Time{}
+	t.submit(now, p.key.page, &change{record: p.record(t.self.Member()), replaces: p.replaces, due: now})
+}
+
+// decide goes on with a claim by the record that stands under its key.
+func (t *Table) decide(now time.Time, p *pending, record Record) {
+	if record.Fingerprint != p.claim.Fingerprint {
+		t.end(now, p, nil, problem.New(problem.KeyConflict, "the key was used for another request"))
+		return
+	}
+	switch record.Outcome {
+	case Claimed:
+		t.decideClaimed(now, p, record)
+	case Done:
+		t.decideDone(now, p, record)
+	case Unknown:
+		t.end(now, p, nil, answerLost())
+	case NotRun:
+		t.write(now, p)
+	}
+}
+
+func (t *Table) decideClaimed(now time.Time, p *pending, record Record) {
+	switch {
+	case record.Nonce == p.nonce:
+		t.grant(now, p)
+	case record.Nonce == p.replaces:
+		t.write(now, p)
+	default:
+		t.await(now, p, record)
+	}
+}
+
+func (t *Table) decideDone(now time.Time, p *pending, record Record) {
+	if record.Answer != nil {
+		t.end(now, p, record.Answer, nil)
+		return
+	}
+	t.await(now, p, record)
+}
+
+// grant makes the caller the holder of its key, unless the key expired meanwhile: its
+// page may then be gone, and nothing would keep a repeat from running.
+func (t *Table) grant(now time.Time, p *pending) {
+	t.forget(p)
+	h := t.hold(p)
+	if err := p.key.checkAge(now, p.window, t.settings.Skew); err != nil {
+		t.finish(now, h, NotRun, nil)
+		t.order(Resolve{Claim: p.nonce, Err: err})
+		return
+	}
+	t.order(Resolve{Claim: p.nonce})
+}
+
+func (t *Table) forget(p *pending) {
+	delete(t.pending, p.nonce)
+	t.waiting[p.key.hash]--
+	if t.waiting[p.key.hash] == 0 {
+		delete(t.waiting, p.key.hash)
+	}
+}
+
+// end answers the caller of a claim that never runs.
+func (t *Table) end(now time.Time, p *pending, answer *Answer, err error) {
+	t.forget(p)
+	t.withdraw(t.page(p.key.page), p.nonce)
+	t.order(Resolve{Claim: p.nonce, Answer: answer, Err: err})
+	t.notify(now, p.nonce)
+}
+
+// Cancel ends a claim whose caller no longer waits. A claim that was granted stays with its holder.
+func (t *Table) Cancel(now time.Time, nonce uint64) []Order {
+	if p, found := t.pending[nonce]; found {
+		t.end(now, p, nil, t.overdue(p))
+	}
+	return t.take()
+}
+
+func answerLost() *problem.Error {
+	return problem.New(problem.AnswerLost, "the request may have run; its answer is lost")
+}
+
+func answerForgotten(status int) *problem.Error {
+	return problem.New(problem.AnswerLost, "the request ran and was answered with status %d; the answer is no longer held", status).
+		With(problem.Failed)
+}
--- /dev/null
+++ b/serving/request/action/record.go
@@ -0,0 +1,93 @@
+package action
+
+import "time"
+
+// Record is what a page holds about one key.
+type Record struct {
+	Hash        Hash        `cbor:"1,keyasint"`
+	Owner       Member      `cbor:"2,keyasint"`
+	Nonce       uint64      `cbor:"3,keyasint"`
+	Fingerprint Fingerprint `cbor:"4,keyasint"`
+	Outcome     Outcome     `cbor:"5,keyasint,omitempty"`
+	// Status is the HTTP status of the answer of a Done record.
+	Status int `cbor:"6,keyasint,omitempty"`
+	// Answer is nil when it is too large to keep here.
+	Answer *Answer `cbor:"7,keyasint,omitempty"`
+}
+
+// sameClaim tells whether two records stem from the same claim.
+func (r Record) sameClaim(other Record) bool {
+	return r.Hash == other.Hash && r.Nonce == other.Nonce && r.Owner == other.Owner
+}
+
+// records are the records of one page.
+type records map[Hash]Record
+
+// change is a claim or an outcome that waits to be written into a page.
+type change struct {
+	record Record
+	// replaces is the nonce of a claim whose holder has said that it never runs.
+	replaces uint64
+	// query is the peer's query that asked for the change, 0 for a change of this process.
+	query uint64
+	// due is when the change should be written at the latest.
+	due time.Time
+	// sent tells that a swap with this change may have taken effect.
+	sent bool
+}
+
+func (c *change) isClaim() bool { return c.record.Outcome == Claimed }
+
+// verdict tells what applying a change to a page's records came to.
+type verdict uint8
+
+const (
+	// settled means that the records need no change.
+	settled verdict = iota
+	// applied means that the records were changed.
+	applied
+	// missing means that the record which the change builds on isn't there.
+	missing
+)
+
+// apply writes c into the records.
+func (r records) apply(c *change) verdict {
+	current, found := r[c.record.Hash]
+	if c.isClaim() {
+		return r.applyClaim(c, current, found)
+	}
+	switch {
+	case !found || !current.sameClaim(c.record):
+		return missing
+	case current.Outcome != Claimed:
+		return settled
+	}
+	r[c.record.Hash] = c.record
+	return applied
+}
+
+func (r records) applyClaim(c *change, current Record, found bool) verdict {
+	if found && !replaceable(c, current) {
+		return settled
+	}
+	r[c.record.Hash] = c.record
+	return applied
+}
+
+func replaceable(c *change, current Record) bool {
+	if current.Nonce == c.record.Nonce || current.Fingerprint != c.record.Fingerprint {
+		return false
+	}
+	return current.Outcome == NotRun || current.Outcome == Claimed && c.replaces == current.Nonce
+}
+
+// stripAnswers removes the answers that the given changes brought.
+func (r records) stripAnswers(changes []*change) {
+	for _, c := range changes {
+		record, found := r[c.record.Hash]
+		if found && record.sameClaim(c.record) {
+			record.Answer = nil
+			r[c.record.Hash] = record
+		}
+	}
+}
--- /dev/null
+++ b/serving/request/action/swap.go
@@ -0,0 +1,321 @@
+package action
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"papayaport.dev/serving/process/problem"
+)
+
+const (
+	// pageIdle is how long a page without changes is kept in memory.
+	pageIdle = time.Minute
+	// maxBackoff is the largest factor on RetryInterval after failed swaps in a row.
+	maxBackoff = 8
+)
+
+// pageState is a page as this entry instance last saw it, and what waits to be written.
+type pageState struct {
+	name     PageName
+	revision uint64
+	records  records
+	changes  []*change
+	flight   *flight
+	// unsure tells that an earlier swap may yet take effect on this revision.
+	unsure    bool
+	notBefore time.Time
+	failures  int
+	conflicts int
+	usedAt    time.Time
+}
+
+// flight is a swap whose result is missing.
+type flight struct {
+	sequence uint64
+	records  records
+	changes  []*change
+}
+
+func (t *Table) page(name PageName) *pageState {
+	state, found := t.pages[name]
+	if !found {
+		state = &pageState{name: name, records: records{}}
+		t.pages[name] = state
+	}
+	return state
+}
+
+// learn takes over what a read or a conflict showed, if it is newer.
+func (s *pageState) learn(result StoreResult) {
+	if result.Revision <= s.revision {
+		return
+	}
+	s.replace(result)
+}
+
+func (s *pageState) replace(result StoreResult) {
+	decoded, err := decode(result.Value)
+	if err != nil {
+		return
+	}
+	s.records = decoded
+	s.revision = result.Revision
+}
+
+// submit has a change written by the page's usual writer.
+func (t *Table) submit(now time.Time, name PageName, c *change) {
+	if to := t.members.writer(now, name); to != t.self.Member() {
+		t.callWriter(to, name, c)
+		return
+	}
+	t.submitHere(now, name, c)
+}
+
+func (t *Table) submitHere(now time.Time, name PageName, c *change) {
+	state := t.page(name)
+	state.changes = append(state.changes, c)
+	t.flush(now, state)
+}
+
+// flush swaps the page if something is due to be written.
+func (t *Table) flush(now time.Time, state *pageState) {
+	state.usedAt = now
+	if state.flight != nil || now.Before(state.notBefore) || !state.due(now) {
+		return
+	}
+	changes := state.changes
+	state.changes = nil
+	next, write := state.merge(changes)
+	if !write {
+		t.settleAll(now, state, changes)
+		return
+	}
+	value, changes := t.encode(now, state, next, changes)
+	if value == nil {
+		return
+	}
+	t.nextID++
+	state.flight = &flight{sequence: t.nextID, records: next, changes: changes}
+	t.order(Swap{Page: state.name, Sequence: t.nextID, Value: value, IfRevision: state.revision})
+}
+
+func (s *pageState) due(now time.Time) bool {
+	return slices.ContainsFunc(s.changes, func(c *change) bool { return !now.Before(c.due) })
+}
+
+// merge applies changes to a copy of the records. The second result tells whether a
+// swap is needed: also one without an effect is when only a swap can tell what stands
+// in the store.
+func (s *pageState) merge(changes []*change) (records, bool) {
+	next := maps.Clone(s.records)
+	write := s.unsure
+	for _, c := range changes {
+		if next.apply(c) != settled {
+			write = true
+		}
+	}
+	return next, write
+}
+
+// encode returns the stored form of next and the changes in it. If the page would
+// grow over its limit, the new answers stay out of it, then the new claims.
+func (t *Table) encode(now time.Time, state *pageState, next records, changes []*change) ([]byte, []*change) {
+	value, err := next.encode()
+	if err == nil && len(value) <= t.settings.PageBytes {
+		return value, changes
+	}
+	next.stripAnswers(changes)
+	value, err = next.encode()
+	if err == nil && len(value) <= t.settings.PageBytes {
+		return value, changes
+	}
+	t.refuse(now, state, changes)
+	return nil, nil
+}
+
+// refuse ends the claims among changes and keeps the outcomes for the next swap.
+func (t *Table) refuse(now time.Time, state *pageState, changes []*change) {
+	for _, c := range changes {
+		switch {
+		case !c.isClaim():
+			state.changes = append(state.changes, c)
+		case c.query != 0:
+			t.respond(c.query, Reply{State: Full})
+		default:
+			t.refuseClaim(now, c)
+		}
+	}
+	state.notBefore = now.Add(t.settings.FlushInterval)
+}
+
+func (t *Table) refuseClaim(now time.Time, c *change) {
+	if p := t.pending[c.record.Nonce]; p != nil {
+		t.end(now, p, nil, problem.New(problem.QueueFull, "the page of the key is full; use a new key"))
+	}
+}
+
+// SwapDone takes the result of a Swap order. A second result of the same order is ignored.
+func (t *Table) SwapDone(now time.Time, order Swap, result StoreResult) []Order {
+	state := t.page(order.Page)
+	if state.flight == nil || state.flight.sequence != order.Sequence {
+		return t.take()
+	}
+	done := state.flight
+	state.flight = nil
+	switch result.State {
+	case StoreOK:
+		t.swapped(now, state, done, result.Revision)
+	case StoreConflict:
+		t.conflicted(now, state, done, result)
+	case StoreUnknown:
+		t.failed(now, state, done, true)
+	case StoreUnavailable:
+		t.failed(now, state, done, false)
+	}
+	t.flush(now, state)
+	return t.take()
+}
+
+func (t *Table) swapped(now time.Time, state *pageState, done *flight, revision uint64) {
+	state.records = done.records
+	state.revision = revision
+	state.unsure = false
+	state.failures = 0
+	state.conflicts = 0
+	state.notBefore = now.Add(t.settings.FlushInterval)
+	t.settleAll(now, state, done.changes)
+}
+
+// conflicted merges the changes again into what the store holds. No earlier swap can
+// take effect any more, because the revision has moved on. The first conflict is
+// followed at once by another swap: it only shows a page that wasn't read before.
+func (t *Table) conflicted(now time.Time, state *pageState, done *flight, result StoreResult) {
+	state.replace(result)
+	state.unsure = false
+	state.failures = 0
+	t.requeue(state, done.changes)
+	state.conflicts++
+	if state.conflicts > 1 {
+		state.notBefore = now.Add(t.jitter(t.settings.FlushInterval))
+	}
+	if next, write := state.merge(state.changes); !write {
+		changes := state.changes
+		state.changes = nil
+		state.records = next
+		t.settleAll(now, state, changes)
+	}
+}
+
+func (t *Table) failed(now time.Time, state *pageState, done *flight, unsure bool) {
+	if unsure {
+		state.unsure = true
+		for _, c := range done.changes {
+			c.sent = true
+		}
+	}
+	t.requeue(state, done.changes)
+	state.failures++
+	backoff := min(1<<min(state.failures-1, maxBackoff), maxBackoff)
+	state.notBefore = now.Add(t.jitter(t.settings.RetryInterval * time.Duration(backoff)))
+}
+
+// requeue puts changes back in front of those that came meanwhile. A claim whose
+// caller has been answered is not written again; if it may be in the store already, it
+// is recorded as not run.
+func (t *Table) requeue(state *pageState, changes []*change) {
+	wanted := make([]*change, 0, len(changes)+len(state.changes))
+	for _, c := range changes {
+		if t.wanted(c) {
+			wanted = append(wanted, c)
+		}
+	}
+	state.changes = append(wanted, state.changes...)
+}
+
+func (t *Table) wanted(c *change) bool {
+	if c.query != 0 {
+		_, waiting := t.queries[c.query]
+		return waiting
+	}
+	if !c.isClaim() || t.pending[c.record.Nonce] != nil {
+		return true
+	}
+	c.record.Outcome = NotRun
+	return c.sent
+}
+
+// withdraw takes back the queued claim of a caller that has been answered.
+func (t *Table) withdraw(state *pageState, nonce uint64) {
+	queued := state.changes
+	state.changes = nil
+	for _, c := range queued {
+		if c.query != 0 || c.record.Nonce != nonce || t.wanted(c) {
+			state.changes = append(state.changes, c)
+		}
+	}
+}
+
+// dropQueryChange takes back the change of a peer that no longer waits.
+func (t *Table) dropQueryChange(id uint64) {
+	for _, state := range t.pages {
+		state.changes = slices.DeleteFunc(state.changes, func(c *change) bool { return c.query == id })
+	}
+}
+
+func (t *Table) settleAll(now time.Time, state *pageState, changes []*change) {
+	for _, c := range changes {
+		record, found := state.records[c.record.Hash]
+		t.settle(now, state.name, c, record, found)
+	}
+}
+
+// settle ends a change: record is what the store holds under its key.
+func (t *Table) settle(now time.Time, name PageName, c *change, record Record, found bool) {
+	switch {
+	case c.query != 0:
+		t.respond(c.query, Reply{State: Stands, Record: record})
+	case !c.isClaim():
+		t.settleOutcome(c, record, found)
+	default:
+		t.settleClaim(now, name, c, record, found)
+	}
+}
+
+func (t *Table) settleOutcome(c *change, record Record, found bool) {
+	h := t.holding[c.record.Nonce]
+	if h == nil {
+		return
+	}
+	h.durable = true
+	if found && record.sameClaim(h.record) && record.Answer != nil {
+		t.answers.remove(h.record.Nonce)
+		h.record.Answer = record.Answer
+	}
+}
+
+func (t *Table) settleClaim(now time.Time, name PageName, c *change, record Record, found bool) {
+	p := t.pending[c.record.Nonce]
+	switch {
+	case p != nil && found:
+		t.decide(now, p, record)
+	case p != nil:
+		t.write(now, p)
+	case found && record.sameClaim(c.record) && record.Outcome == Claimed && t.holding[record.Nonce] == nil:
+		c.record.Outcome = NotRun
+		t.submit(now, name, c)
+	}
+}
+
+// tickPages flushes what is due and forgets pages that are idle.
+func (t *Table) tickPages(now time.Time) {
+	for _, name := range slices.Sorted(maps.Keys(t.pages)) {
+		state := t.pages[name]
+		if len(state.changes) > 0 {
+			t.flush(now, state)
+		}
+		if len(state.changes) == 0 && state.flight == nil && now.Sub(state.usedAt) > pageIdle {
+			delete(t.pages, name)
+		}
+	}
+}
--- /dev/null
+++ b/serving/request/action/table.go
@@ -0,0 +1,163 @@
+package action
+
+import (
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"papayaport.dev/serving/process/problem"
+)
+
+// Table decides about claims, pages and peers' queries of one entry instance. It does
+// no I/O: events go in with the present time, orders come out. It is not safe for
+// concurrent use.
+type Table struct {
+	self     Self
+	settings Settings
+	rng      *rand.Rand
+	started  time.Time
+	orders   []Order
+
+	members members
+	pages   map[PageName]*pageState
+	pending map[uint64]*pending
+	waiting map[Hash]int
+	holding map[uint64]*holding
+	latest  map[Hash]uint64
+	answers *answerCache
+	waiters map[uint64][]waiter
+	queries map[uint64]time.Time
+	calls   map[uint64]call
+	nextID  uint64
+	sweep   sweep
+}
+
+// NewTable returns an empty table. Nonces and jitter come from rng.
+func NewTable(now time.Time, self Self, settings Settings, rng *rand.Rand) *Table {
+	return &Table{
+		self:     self,
+		settings: settings,
+		rng:      rng,
+		started:  now,
+		members:  members{avoided: map[Member]time.Time{}},
+		pages:    map[PageName]*pageState{},
+		pending:  map[uint64]*pending{},
+		waiting:  map[Hash]int{},
+		holding:  map[uint64]*holding{},
+		latest:   map[Hash]uint64{},
+		answers:  newAnswerCache(settings.AnswersBytes),
+		waiters:  map[uint64][]waiter{},
+		queries:  map[uint64]time.Time{},
+		calls:    map[uint64]call{},
+	}
+}
+
+// take returns the orders that gathered during an event.
+func (t *Table) take() []Order {
+	orders := t.orders
+	t.orders = nil
+	return orders
+}
+
+func (t *Table) order(o Order) { t.orders = append(t.orders, o) }
+
+// Busy tells whether something waits for time to pass.
+func (t *Table) Busy() bool {
+	if len(t.pending)+len(t.queries) > 0 {
+		return true
+	}
+	for _, state := range t.pages {
+		if len(state.changes) > 0 || state.flight != nil {
+			return true
+		}
+	}
+	return false
+}
+
+// Unwritten returns the number of outcomes of this process that aren't in the store yet.
+func (t *Table) Unwritten() int {
+	count := 0
+	for _, h := range t.holding {
+		if h.record.Outcome != Claimed && !h.durable {
+			count++
+		}
+	}
+	return count
+}
+
+// Drain writes everything that waits for a swap to share.
+func (t *Table) Drain(now time.Time) []Order {
+	for _, name := range slices.Sorted(maps.Keys(t.pages)) {
+		state := t.pages[name]
+		for _, c := range state.changes {
+			c.due = now
+		}
+		t.flush(now, state)
+	}
+	return t.take()
+}
+
+// Tick lets time pass: deadlines, retries, flushes and the removal of what expired.
+// live are the entry instances that are heard of or listed, with or without this one.
+func (t *Table) Tick(now time.Time, live []Member) []Order {
+	t.members.update(now, t.self.Member(), live)
+	t.expireQueries(now)
+	t.tickPending(now)
+	t.tickPages(now)
+	t.purgeHolding(now)
+	t.sweepPages(now)
+	return t.take()
+}
+
+func (t *Table) expireQueries(now time.Time) {
+	for _, id := range slices.Sorted(maps.Keys(t.queries)) {
+		if now.Before(t.queries[id]) {
+			continue
+		}
+		t.dropQueryChange(id)
+		t.respond(id, Reply{State: InProgress})
+	}
+}
+
+func (t *Table) tickPending(now time.Time) {
+	for _, nonce := range slices.Sorted(maps.Keys(t.pending)) {
+		p, found := t.pending[nonce]
+		switch {
+		case !found:
+		case !now.Before(p.deadline):
+			t.end(now, p, nil, t.overdue(p))
+		case p.state == awaiting && !p.retryAt.IsZero() && !now.Before(p.retryAt):
+			t.await(now, p, p.target)
+		case p.state == writing && !p.polling && !now.Before(p.pollAt):
+			t.poll(p)
+		}
+	}
+}
+
+// overdue returns the error of a claim whose deadline has passed.
+func (t *Table) overdue(p *pending) error {
+	if p.state != writing {
+		return problem.New(problem.KeyInProgress, "the first request with this key is not answered yet")
+	}
+	err := problem.New(problem.StoreUnavailable, "the key could not be claimed in time; this request was not sent")
+	if t.mayHaveRun(p) {
+		err.Detail += ", but an earlier one with this key may have run"
+		return err.With(problem.Unknown)
+	}
+	return err
+}
+
+func (t *Table) newNonce() uint64 {
+	for {
+		nonce := t.rng.Uint64()
+		if nonce != 0 && t.pending[nonce] == nil && t.holding[nonce] == nil {
+			return nonce
+		}
+	}
+}
+
+// jitter returns a time around the given one.
+func (t *Table) jitter(around time.Duration) time.Duration {
+	return around/2 + time.Duration(t.rng.Int64N(int64(around)+1))
+}
