Add the membership table: liveness, leaving set, sums of use

Entry instances exchange bounded messages with random peers once a second; new leaving instances are pushed at once. Use is summed by cells and failure domains, so that the bytes a second follow the budget and not the fleet. Tests join the tables by encoded messages: eight agree, a leaving instance reaches 8 and 64 within 2 s, a cut heals, a restart leaves nothing behind.

--- /dev/null
+++ b/serving/process/membership/message.go
@@ -0,0 +1,150 @@
+package membership
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Member describes one incarnation of an entry instance.
+type Member struct {
+	Instance string `cbor:"1,keyasint"`
+	// Incarnation grows with every start of the instance's process.
+	Incarnation   uint64 `cbor:"2,keyasint"`
+	Region        string `cbor:"3,keyasint"`
+	FailureDomain string `cbor:"4,keyasint"`
+	// PeerAddress is HOST:PORT of the listener for other entry instances.
+	PeerAddress string `cbor:"5,keyasint"`
+	// CallerAddress is HOST:PORT of the listener for callers.
+	CallerAddress string `cbor:"6,keyasint"`
+}
+
+// Leaving is an incarnation of an instance, entry or backend server, that will go.
+type Leaving struct {
+	Instance    string
+	Incarnation uint64
+	// Deadline is when it goes at the latest, on this instance's clock.
+	Deadline time.Time
+}
+
+// Config names the highest configuration version heard of and where to fetch it.
+type Config struct {
+	Version uint64 `cbor:"1,keyasint"`
+	// ManifestHash names the manifest of the version.
+	ManifestHash string `cbor:"2,keyasint"`
+	// Address is the peer address of an entry instance that has it in force.
+	Address string `cbor:"3,keyasint"`
+}
+
+// Message is what two entry instances exchange. Times travel as ages and remaining
+// times, so that clocks need not agree.
+type Message struct {
+	From Member `cbor:"1,keyasint"`
+	// Count is the sender's count of seconds since its start.
+	Count uint32 `cbor:"2,keyasint"`
+	// Reply marks the answer to a message; it is not answered again.
+	Reply bool `cbor:"3,keyasint,omitempty"`
+	// Push marks a message that carries only leaving instances.
+	Push     bool   `cbor:"4,keyasint,omitempty"`
+	Draining bool   `cbor:"5,keyasint,omitempty"`
+	Config   Config `cbor:"6,keyasint"`
+	// LeavingDigest is the exclusive or of the names of the sender's leaving set.
+	LeavingDigest uint64          `cbor:"7,keyasint"`
+	Leaving       []LeavingRecord `cbor:"8,keyasint,omitempty"`
+	Members       []Member        `cbor:"9,keyasint,omitempty"`
+	Beats         []Beat          `cbor:"10,keyasint,omitempty"`
+	Uses          []Use           `cbor:"11,keyasint,omitempty"`
+}
+
+// LeavingRecord is a Leaving on the wire.
+type LeavingRecord struct {
+	_           struct{} `cbor:",toarray"`
+	Instance    string
+	Incarnation uint64
+	// RemainingMS is the time to the deadline in milliseconds, negative behind it.
+	RemainingMS int64
+}
+
+// Beat tells how far the heartbeat count of an incarnation has come.
+type Beat struct {
+	_ struct{} `cbor:",toarray"`
+	// ID names the incarnation.
+	ID       uint32
+	Count    uint32
+	Draining bool
+}
+
+// Levels of a Use.
+const (
+	// OriginLevel is the use of one entry instance, kept within its cell.
+	OriginLevel uint8 = iota
+	// CellLevel is the sum over a cell, kept within its failure domain.
+	CellLevel
+	// DomainLevel is the sum over a failure domain, kept everywhere.
+	DomainLevel
+)
+
+// Use is one part of the work of an entry instance, a cell or a failure domain.
+type Use struct {
+	_     struct{} `cbor:",toarray"`
+	Level uint8
+	// Domain names the failure domain.
+	Domain uint32
+	// Cells is the number of cells in the failure domain, Cell the number of this one.
+	Cells, Cell uint16
+	// Speaker names the incarnation that made this record, Sequence grows with each.
+	Speaker, Sequence uint32
+	// AgeMS is the time since it was made in milliseconds.
+	AgeMS uint32
+	// Parts is the number of records that make up the whole, Part the number of this one.
+	Parts, Part uint16
+	Backends    []BackendSum
+	Accounts    []AccountSum
+}
+
+// BackendSum is a BackendUse on the wire.
+type BackendSum struct {
+	_ struct{} `cbor:",toarray"`
+	// ID names the backend server.
+	ID                      uint32
+	InFlight, PrefillTokens uint32
+}
+
+// AccountSum is an AccountUse on the wire.
+type AccountSum struct {
+	_ struct{} `cbor:",toarray"`
+	// ID names the client account.
+	ID uint32
+	// DeciRequests is in tenths of a request a second, Tokens in tokens a second.
+	DeciRequests, Tokens, InFlight uint32
+}
+
+// Upper bounds of encoded sizes in bytes, for filling messages.
+const (
+	baseBytes       = 64
+	memberBytes     = 24
+	leavingBytes    = 22
+	beatBytes       = 12
+	useBytes        = 40
+	backendSumBytes = 16
+	accountSumBytes = 21
+)
+
+func (m Member) size() int {
+	return memberBytes + len(m.Instance) + len(m.Region) + len(m.FailureDomain) + len(m.PeerAddress) + len(m.CallerAddress)
+}
+
+func (u *Use) size() int {
+	return useBytes + backendSumBytes*len(u.Backends) + accountSumBytes*len(u.Accounts)
+}
+
+// incarnationName names one incarnation of an instance.
+func incarnationName(instance string, incarnation uint64) uint64 {
+	return xxhash.Sum64String(instance + "/" + strconv.FormatUint(incarnation, 10))
+}
+
+func (m Member) id() uint32 { return uint32(incarnationName(m.Instance, m.Incarnation)) }
+
+// subject names a backend server, client account or failure domain.
+func subject(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
--- /dev/null
+++ b/serving/process/membership/round.go
@@ -0,0 +1,207 @@
+package membership
+
+import (
+	"slices"
+	"time"
+)
+
+// bucket limits the bytes sent in a second.
+type bucket struct {
+	left float64
+	last time.Time
+}
+
+// allow refills the bucket with perSecond bytes a second and returns what may be sent
+// now.
+func (b *bucket) allow(now time.Time, perSecond float64) int {
+	if b.last.IsZero() {
+		b.left = perSecond
+	} else {
+		b.left = min(perSecond, b.left+perSecond*now.Sub(b.last).Seconds())
+	}
+	b.last = now
+	return int(b.left)
+}
+
+func (b *bucket) take(size int) { b.left -= float64(size) }
+
+// reachable returns the members worth an exchange, in this failure domain and elsewhere.
+func (t *Table) reachable(now time.Time) (home, away []*member) {
+	for _, m := range t.sorted() {
+		if !t.reachableNow(now, m) {
+			continue
+		}
+		if t.home(m) {
+			home = append(home, m)
+		} else {
+			away = append(away, m)
+		}
+	}
+	return home, away
+}
+
+// reachableNow tells whether a member gave a sign of life since the last failure, or
+// was learnt of a short time ago and not tried yet.
+func (t *Table) reachableNow(now time.Time, m *member) bool {
+	if m.heard.IsZero() {
+		return m.failed.IsZero() && now.Sub(m.learnt) <= newcomerPeriod
+	}
+	return t.live(now, m) && !m.failed.After(m.heard)
+}
+
+// sample draws up to n of the members.
+func (t *Table) sample(members []*member, n int) []*member {
+	members = slices.Clone(members)
+	n = min(n, len(members))
+	for i := range n {
+		j := i + t.random.IntN(len(members)-i)
+		members[i], members[j] = members[j], members[i]
+	}
+	return members[:n]
+}
+
+// round starts the exchanges of one period.
+func (t *Table) round(now time.Time) []Exchange {
+	home, away := t.reachable(now)
+	chosen := t.sample(home, homeExchanges)
+	chosen = append(chosen, t.sample(away, awayExchanges)...)
+	if !now.Before(t.nextProbe) {
+		t.nextProbe = now.Add(probePeriod)
+		chosen = append(chosen, t.probes(now)...)
+	}
+	var exchanges []Exchange
+	for _, m := range chosen {
+		exchanges = append(exchanges, Exchange{Address: m.PeerAddress, Message: t.compose(now, m, false, false)})
+	}
+	if address := t.seed(now, len(chosen) == 0); address != "" {
+		exchanges = append(exchanges, Exchange{Address: address, Message: t.compose(now, nil, false, false)})
+	}
+	return exchanges
+}
+
+// probes draws silent members, one here and one elsewhere, to find out when a cut heals.
+func (t *Table) probes(now time.Time) []*member {
+	var home, away []*member
+	for _, m := range t.sorted() {
+		if t.reachableNow(now, m) {
+			continue
+		}
+		if t.home(m) {
+			home = append(home, m)
+		} else {
+			away = append(away, m)
+		}
+	}
+	return append(t.sample(home, 1), t.sample(away, 1)...)
+}
+
+// seed returns a seed to try: in turn every round while alone, now and then otherwise.
+func (t *Table) seed(now time.Time, alone bool) string {
+	if len(t.seeds) == 0 || (!alone && now.Before(t.nextSeed)) {
+		return ""
+	}
+	t.nextSeed = now.Add(seedPeriod)
+	t.seedTurn++
+	address := t.seeds[t.seedTurn%len(t.seeds)]
+	for _, m := range t.members {
+		if m.PeerAddress == address && t.live(now, m) {
+			return ""
+		}
+	}
+	return address
+}
+
+func (t *Table) empty(reply bool) Message {
+	return Message{
+		From:          t.self,
+		Count:         t.count,
+		Reply:         reply,
+		Draining:      t.local.Draining,
+		Config:        t.config,
+		LeavingDigest: t.digest,
+	}
+}
+
+// compose fills a message for a peer, the most urgent records first, within the budget.
+// A differing peer gets leaving records again that were passed on often enough.
+func (t *Table) compose(now time.Time, to *member, differs, reply bool) Message {
+	m := t.empty(reply)
+	size := baseBytes + t.self.size() + len(t.config.ManifestHash) + len(t.config.Address)
+	limit := max(size+leastBytes, min(t.message, t.sent.allow(now, float64(t.budget)/2)))
+	size = t.addLeavingRecords(now, &m, size, limit, differs)
+	size = t.addMembers(now, &m, size, size+(limit-size)/2)
+	size = t.addBeats(now, &m, size, size+(limit-size)/2)
+	size = t.addUses(now, &m, to, size, limit)
+	t.sent.take(size)
+	return m
+}
+
+func (t *Table) addLeavingRecords(now time.Time, m *Message, size, limit int, all bool) int {
+	for _, state := range t.leavingBySent(all) {
+		next := size + leavingBytes + len(state.Instance)
+		if next > limit {
+			break
+		}
+		size = next
+		state.sent++
+		m.Leaving = append(m.Leaving, state.record(now))
+	}
+	return size
+}
+
+func (t *Table) addBeats(now time.Time, m *Message, size, limit int) int {
+	var fresh []*member
+	for _, other := range t.sorted() {
+		if other.beatsSent < relays && t.live(now, other) {
+			fresh = append(fresh, other)
+		}
+	}
+	slices.SortStableFunc(fresh, func(a, b *member) int {
+		if a.beatsSent != b.beatsSent {
+			return a.beatsSent - b.beatsSent
+		}
+		return b.heard.Compare(a.heard)
+	})
+	for _, other := range fresh {
+		if size+beatBytes > limit {
+			break
+		}
+		size += beatBytes
+		other.beatsSent++
+		m.Beats = append(m.Beats, Beat{ID: other.memberID, Count: other.count, Draining: other.draining})
+	}
+	return size
+}
+
+// welcome adds random live members for a peer that was not known before.
+func (t *Table) welcome(now time.Time, m *Message) {
+	home, away := t.reachable(now)
+	for _, other := range append(t.sample(home, welcomeMembers), t.sample(away, welcomeMembers)...) {
+		m.Members = append(m.Members, other.Member)
+	}
+}
+
+// addMembers adds members that few were told of, and one at random against losses.
+func (t *Table) addMembers(now time.Time, m *Message, size, limit int) int {
+	var live []*member
+	for _, other := range t.sorted() {
+		if t.live(now, other) {
+			live = append(live, other)
+		}
+	}
+	chosen := t.sample(live, 1)
+	for _, other := range live {
+		if other.fullSent < relays && !slices.Contains(chosen, other) {
+			chosen = append(chosen, other)
+		}
+	}
+	for _, other := range chosen {
+		if size+other.size() > limit {
+			break
+		}
+		size += other.size()
+		other.fullSent++
+		m.Members = append(m.Members, other.Member)
+	}
+	return size
+}
--- /dev/null
+++ b/serving/process/membership/table_test.go
@@ -0,0 +1,121 @@
+package membership_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"papayaport.dev/serving/process/membership"
+	"papayaport.dev/serving/process/platform"
+)
+
+func TestEightEntriesAgree(t *testing.T) {
+	n := newNetwork(t, 1)
+	nodes := n.fleet(8, 4, membership.DefaultBudget)
+	for _, node := range nodes {
+		node.table.SetLocal(n.now, membership.Local{
+			ConfigVersion: 1,
+			Backends:      []membership.BackendUse{{Backend: "runner-1", InFlight: 2, PrefillTokens: 100}},
+			Accounts:      []membership.AccountUse{{Account: "llm/clinic", RequestsPerSecond: 1.5, TokensPerSecond: 40, InFlight: 1}},
+		})
+	}
+	n.run(8 * time.Second)
+	for _, node := range nodes {
+		require.Len(t, node.table.Live(n.now), 7)
+		totals := node.table.Totals(n.now)
+		require.Equal(t, 7, totals.Entries)
+		require.Equal(t, membership.BackendUse{Backend: "runner-1", InFlight: 14, PrefillTokens: 700}, totals.ByBackend["runner-1"])
+		require.Equal(t, membership.AccountUse{Account: "llm/clinic", RequestsPerSecond: 10.5, TokensPerSecond: 280, InFlight: 7}, totals.ByAccount["llm/clinic"])
+	}
+	nodes[3].table.SetLocal(n.now, membership.Local{ConfigVersion: 9, ManifestHash: "abc"})
+	n.run(4 * time.Second)
+	for _, node := range nodes {
+		require.Equal(t, membership.Config{Version: 9, ManifestHash: "abc", Address: "entry-003:1"}, node.table.HighestConfig())
+	}
+}
+
+func TestLeavingReachesAllWithinTwoSeconds(t *testing.T) {
+	sizes := map[string]struct{ entries, domains int }{
+		"today":  {8, 4},
+		"medium": {64, 6},
+	}
+	for name, size := range sizes {
+		t.Run(name, func(t *testing.T) {
+			n := newNetwork(t, 2)
+			nodes := n.fleet(size.entries, size.domains, membership.DefaultBudget)
+			n.run(15 * time.Second)
+			n.notice(nodes[1], membership.Leaving{Instance: "runner-1", Incarnation: 4, Deadline: n.now.Add(30 * time.Second)})
+			n.run(2 * time.Second)
+			for _, node := range nodes {
+				require.True(t, node.heard["runner-1/4"], node.member.Instance)
+			}
+		})
+	}
+}
+
+func TestCutHealsWithinSeconds(t *testing.T) {
+	n := newNetwork(t, 3)
+	nodes := n.fleet(8, 4, membership.DefaultBudget)
+	n.run(10 * time.Second)
+	n.cut = func(from, to string) bool { return from != to && (from == "domain-0" || to == "domain-0") }
+	n.run(40 * time.Second)
+	require.Equal(t, []string{"entry-004"}, names(nodes[0].table.Live(n.now)))
+	require.Len(t, nodes[1].table.Live(n.now), 5)
+	nodes[1].table.SetLocal(n.now, membership.Local{ConfigVersion: 7})
+	n.notice(nodes[1], membership.Leaving{Instance: "runner-9", Incarnation: 1, Deadline: n.now.Add(time.Minute)})
+	n.run(2 * time.Second)
+	n.cut = func(string, string) bool { return false }
+	n.run(6 * time.Second)
+	for _, node := range nodes {
+		require.Len(t, node.table.Live(n.now), 7, node.member.Instance)
+		require.Equal(t, uint64(7), node.table.HighestConfig().Version)
+		require.True(t, node.heard["runner-9/1"])
+	}
+}
+
+func TestRestartLeavesNothingBehind(t *testing.T) {
+	n := newNetwork(t, 4)
+	nodes := n.fleet(8, 4, membership.DefaultBudget)
+	busy := membership.Local{Backends: []membership.BackendUse{{Backend: "runner-1", InFlight: 5}}}
+	nodes[5].table.SetLocal(n.now, busy)
+	n.run(8 * time.Second)
+	nodes[0].table.Know("runner-1")
+	require.Equal(t, 5, nodes[0].table.Totals(n.now).ByBackend["runner-1"].InFlight)
+	n.notice(nodes[0], membership.Leaving{Instance: "entry-005", Incarnation: 1, Deadline: n.now.Add(time.Second)})
+	n.run(2 * time.Second)
+	require.NotContains(t, names(nodes[0].table.Live(n.now)), "entry-005")
+
+	n.add("entry-005", "region-0", "domain-1", 2, membership.DefaultBudget)
+	n.run(8 * time.Second)
+	require.Contains(t, names(nodes[0].table.Live(n.now)), "entry-005")
+	require.Zero(t, nodes[0].table.Totals(n.now).ByBackend["runner-1"].InFlight)
+	require.Len(t, nodes[0].table.LeavingSet(), 1)
+}
+
+func TestInstanceList(t *testing.T) {
+	self := membership.Member{Instance: "entry-1", Incarnation: 3, Region: "r", FailureDomain: "a", PeerAddress: "entry-1:1"}
+	table := membership.New(self, []string{"entry-1:1", "seed:1"}, rand.New(rand.NewPCG(1, 1)), membership.DefaultBudget)
+	table.Instances(start, []platform.Instance{
+		{ID: "entry-1", Incarnation: 2, Role: platform.EntryRole, PeerAddress: "entry-1:1"},
+		{ID: "entry-2", Incarnation: 5, Role: platform.EntryRole, PeerAddress: "entry-2:1", Address: "entry-2:2", Region: "r", FailureDomain: "a"},
+		{ID: "runner-1", Incarnation: 7, Role: platform.BackendRole, Leaving: true, LeaveInMS: 5000},
+	})
+	members := table.Members(start)
+	require.Len(t, members, 1)
+	require.Equal(t, "entry-2:2", members[0].CallerAddress)
+	require.False(t, members[0].Live)
+	leaving := membership.Leaving{Instance: "runner-1", Incarnation: 7, Deadline: start.Add(5 * time.Second)}
+	require.Equal(t, []membership.Leaving{leaving}, table.LeavingSet())
+	require.Equal(t, []membership.Change{membership.LeavingHeard{Leaving: leaving}}, table.Changes())
+
+	table.Instances(start, []platform.Instance{{ID: "entry-2", Incarnation: 4, Role: platform.EntryRole, PeerAddress: "old:1"}})
+	require.Equal(t, uint64(5), table.Members(start)[0].Incarnation)
+
+	later := start.Add(20 * time.Minute)
+	table.Tick(later)
+	require.Empty(t, table.LeavingSet())
+	require.Empty(t, table.Members(later))
+	require.Empty(t, table.Changes())
+}
--- a/serving/process/membership/use.go
+++ b/serving/process/membership/use.go
@@ -1,6 +1,3 @@
-// Package membership keeps what one entry instance knows of the others: who is live,
-// which incarnation, what is leaving, and how much of each backend server and client
-// account the others use.
 package membership
 
 // BackendUse is the work that one or several entry instances have at a backend server.
@@ -29,6 +26,8 @@
 type Local struct {
 	// ConfigVersion is the configuration version in force here.
 	ConfigVersion uint64
+	// ManifestHash names the manifest of that version.
+	ManifestHash string
 	// Draining tells that this entry instance takes no new requests.
 	Draining bool
 	Backends []BackendUse
