Add stand-ins of the platform, engines and plain services

papayaport can't be run or tested without the systems around it, and none of them may be a third-party server. Each is one package and one subcommand: a table or model that takes the time as an argument, and a thin HTTP listener. Engine answers are a pure function of model, prompt and length, so a test can compute the undisturbed text; a resume behind another text leads to another answer, so a wrong splice shows. The balancer works on TCP connections: an HTTP proxy from the library could repeat a keyed POST without a body.

Seen to fail: without the check of the revision TestCompareAndSwap and TestStatefulSwapsUnderLostAnswers fail; a read of the present in place of the past fails the stale case.

--- /dev/null
+++ b/standin/command/command.go
@@ -0,0 +1,43 @@
+// Package command is the command line of the stand-ins, one file for each command.
+//
+// # Usage
+//
+//	standin engine --listen 127.0.0.1:8000 --models farewell-7b
+package command
+
+import (
+	"context"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+)
+
+// commands is the table of all commands.
+type commands struct {
+	Engine   engineCommand   `cmd:"" help:"Run a model engine."`
+	Service  serviceCommand  `cmd:"" help:"Run a plain service."`
+	Store    storeCommand    `cmd:"" help:"Run a key-value service."`
+	Cloud    cloudCommand    `cmd:"" help:"Run a cloud API with its instance list."`
+	Weights  weightsCommand  `cmd:"" help:"Run a weight store."`
+	Balancer balancerCommand `cmd:"" help:"Run a balancer over entry instances."`
+	Link     linkCommand     `cmd:"" help:"Run a link of faulty relays."`
+}
+
+// Main parses the command line and runs its command.
+func Main() {
+	var table commands
+	parsed := kong.Parse(
+		&table,
+		kong.Name("standin"),
+		kong.Description("Stand-ins of the systems around papayaport, for demo, measurement and tests."),
+		kong.UsageOnError(),
+	)
+	parsed.BindTo(context.Background(), (*context.Context)(nil))
+	parsed.FatalIfErrorf(parsed.Run())
+}
+
+// untilSignal returns a context that ends at SIGINT or SIGTERM.
+func untilSignal(ctx context.Context) (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
+}
--- /dev/null
+++ b/standin/engine/cache.go
@@ -0,0 +1,149 @@
+package engine
+
+import (
+	"github.com/cespare/xxhash/v2"
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
+	wire "papayaport.dev/serving/connection/engine"
+	"papayaport.dev/serving/request/prefix"
+)
+
+// maxSeen bounds the memory of blocks that were ever computed.
+const maxSeen = 1 << 17
+
+// cache is a prefix cache that forgets its least recently used blocks, longest prefixes
+// first. The rest of a text behind its last whole block is kept as a tail of that block.
+type cache struct {
+	// size is the largest number of blocks.
+	size   int
+	blocks *simplelru.LRU[prefix.Block, tail]
+	// seen holds blocks that were computed here before, cached or not.
+	seen *simplelru.LRU[prefix.Block, struct{}]
+	// changed is called for every block that enters or leaves.
+	changed func(block prefix.Block, stored bool)
+}
+
+// tail is a text that ends behind a block.
+type tail struct {
+	bytes int
+	hash  uint64
+}
+
+func newCache(tokens int, changed func(prefix.Block, bool)) *cache {
+	c := &cache{size: max(1, tokens/prefix.BlockTokens), changed: changed}
+	c.blocks, _ = simplelru.NewLRU(c.size, func(block prefix.Block, _ tail) { changed(block, false) })
+	c.seen, _ = simplelru.NewLRU[prefix.Block, struct{}](maxSeen, nil)
+	return c
+}
+
+// lookup returns the number of leading tokens of a text that are cached, and marks
+// them as used.
+func (c *cache) lookup(text string) int {
+	cached := c.held(prefix.Blocks(text))
+	if len(cached) == 0 {
+		return 0
+	}
+	for i := len(cached) - 1; i >= 0; i-- {
+		c.blocks.Get(cached[i])
+	}
+	t, _ := c.blocks.Peek(cached[len(cached)-1])
+	if t.bytes > 0 && t.bytes <= len(text) && xxhash.Sum64String(text[:t.bytes]) == t.hash {
+		return prefix.Tokens(t.bytes)
+	}
+	return len(cached) * prefix.BlockTokens
+}
+
+// held returns the leading part of a chain that is cached.
+func (c *cache) held(chain []prefix.Block) []prefix.Block {
+	for i, block := range chain {
+		if !c.blocks.Contains(block) {
+			return chain[:i]
+		}
+	}
+	return chain
+}
+
+// computedBefore returns how many of the tokens behind the first cached ones were
+// computed here before.
+func (c *cache) computedBefore(text string, cached int) int {
+	tokens := 0
+	for i, block := range prefix.Blocks(text) {
+		if c.seen.Contains(block) {
+			tokens = (i+1)*prefix.BlockTokens - cached
+		}
+	}
+	return max(0, tokens)
+}
+
+// insert stores a computed text.
+func (c *cache) insert(text string) {
+	chain := prefix.Blocks(text)
+	t := tail{bytes: len(text), hash: xxhash.Sum64String(text)}
+	c.store(chain, t)
+	for _, block := range chain {
+		c.seen.Add(block, struct{}{})
+	}
+}
+
+// store adds a chain from its end to its start, so that its start is used last.
+func (c *cache) store(chain []prefix.Block, t tail) {
+	if len(chain) > c.size {
+		chain, t = chain[:c.size], tail{}
+	}
+	for i := len(chain) - 1; i >= 0; i-- {
+		old, had := c.blocks.Get(chain[i])
+		if i == len(chain)-1 {
+			old = t
+		}
+		c.blocks.Add(chain[i], old)
+		if !had {
+			c.changed(chain[i], true)
+		}
+	}
+}
+
+func (c *cache) tokens() int { return c.blocks.Len() * prefix.BlockTokens }
+
+func (c *cache) snapshot() []uint64 {
+	keys := c.blocks.Keys()
+	names := make([]uint64, len(keys))
+	for i, key := range keys {
+		names[i] = uint64(key)
+	}
+	return names
+}
+
+// Transfer is the content of an export.
+type Transfer struct {
+	Blocks    []uint64 `json:"blocks"`
+	TailBytes int      `json:"tail_bytes"`
+	TailHash  uint64   `json:"tail_hash"`
+	Tokens    int      `json:"tokens"`
+	Bytes     int64    `json:"bytes"`
+}
+
+// transfer returns the cached start of a chain.
+func (c *cache) transfer(chain []prefix.Block, bytesPerToken int64) Transfer {
+	held := c.held(chain)
+	t := Transfer{Tokens: len(held) * prefix.BlockTokens}
+	if len(held) > 0 {
+		last, _ := c.blocks.Peek(held[len(held)-1])
+		t.TailBytes, t.TailHash = last.bytes, last.hash
+		t.Tokens = max(t.Tokens, prefix.Tokens(last.bytes))
+	}
+	for _, block := range held {
+		t.Blocks = append(t.Blocks, uint64(block))
+	}
+	t.Bytes = int64(t.Tokens) * bytesPerToken
+	return t
+}
+
+// take stores what came from another engine.
+func (c *cache) take(t Transfer) wire.Imported {
+	chain := make([]prefix.Block, len(t.Blocks))
+	for i, block := range t.Blocks {
+		chain[i] = prefix.Block(block)
+	}
+	c.store(chain, tail{bytes: t.TailBytes, hash: t.TailHash})
+	return wire.Imported{Tokens: t.Tokens}
+}
--- /dev/null
+++ b/standin/link/pair.go
@@ -0,0 +1,128 @@
+package link
+
+import (
+	"context"
+	"io"
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	// pieceBytes is the largest piece that passes at a time, in bytes.
+	pieceBytes = 32 << 10
+	// dialTimeout bounds the opening of a connection to a target.
+	dialTimeout = time.Second
+)
+
+// pair is a caller's connection joined with one to the target. Its silent field is
+// guarded by the Link's mutex.
+type pair struct {
+	caller, target net.Conn
+	silent         bool
+}
+
+func (p *pair) close() {
+	_ = p.caller.Close()
+	_ = p.target.Close()
+}
+
+// pass joins a caller with the relay's target.
+func (l *Link) pass(ctx context.Context, r *relay, caller net.Conn) {
+	defer caller.Close()
+	if l.isCut(r) {
+		return
+	}
+	target, err := net.DialTimeout("tcp", r.Target, dialTimeout)
+	if err != nil {
+		return
+	}
+	p := &pair{caller: caller, target: target}
+	defer p.close()
+	if !l.add(r, p) {
+		return
+	}
+	defer l.remove(r, p)
+	stop := context.AfterFunc(ctx, p.close)
+	defer stop()
+	var group errgroup.Group
+	group.Go(func() error { return l.copyHalf(ctx, r, p, caller, target, NoRequests) })
+	group.Go(func() error { return l.copyHalf(ctx, r, p, target, caller, NoAnswers) })
+	_ = group.Wait()
+}
+
+func (l *Link) isCut(r *relay) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return r.mode == Cut
+}
+
+// add notes a connection unless the relay has been cut.
+func (l *Link) add(r *relay, p *pair) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if r.mode == Cut {
+		return false
+	}
+	r.conns[p] = true
+	return true
+}
+
+func (l *Link) remove(r *relay, p *pair) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(r.conns, p)
+}
+
+// copyHalf copies one direction; dropped is the mode that loses it.
+func (l *Link) copyHalf(ctx context.Context, r *relay, p *pair, from, to net.Conn, dropped Mode) error {
+	buffer := make([]byte, pieceBytes)
+	for {
+		n, err := from.Read(buffer)
+		if n > 0 && l.gate(ctx, r, p, dropped) {
+			if _, err := to.Write(buffer[:n]); err != nil {
+				p.close()
+				return err
+			}
+		}
+		if err != nil {
+			l.gate(ctx, r, p, dropped)
+			return closeHalf(p, to, err)
+		}
+	}
+}
+
+// closeHalf passes a clean end on, and ends both directions of a broken connection.
+func closeHalf(p *pair, to net.Conn, err error) error {
+	half, ok := to.(*net.TCPConn)
+	if !ok || !errors.Is(err, io.EOF) {
+		p.close()
+		return err
+	}
+	return half.CloseWrite()
+}
+
+// gate waits until a piece may pass, and returns false for one that is lost.
+func (l *Link) gate(ctx context.Context, r *relay, p *pair, dropped Mode) bool {
+	for {
+		l.mu.Lock()
+		mode, delay, silent, changed := r.mode, r.delay, p.silent, r.changed
+		l.mu.Unlock()
+		switch {
+		case silent, mode == dropped:
+			return false
+		case mode == Delay:
+			time.Sleep(delay)
+			return true
+		case mode != Freeze:
+			return true
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
--- a/standin/main.go
+++ b/standin/main.go
@@ -1,4 +1,6 @@
 // Command standin runs the stand-ins of the systems around papayaport.
 package main
 
-func main() {}
+import "papayaport.dev/standin/command"
+
+func main() { command.Main() }
--- /dev/null
+++ b/standin/store/read.go
@@ -0,0 +1,86 @@
+package store
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"papayaport.dev/serving/process/platform"
+	"papayaport.dev/standin/httpjson"
+)
+
+// maxWait bounds the wait of a watch.
+const maxWait = time.Minute
+
+// read counts and limits a read.
+func (s *Store) read(count *uint64, serve http.HandlerFunc) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if _, ok := s.admit(w, r, count, s.reads); ok {
+			serve(w, r)
+		}
+	})
+}
+
+// at returns the revision that reads are answered from.
+func (s *Store) at() uint64 {
+	if s.faults.StaleReads > s.table.revision {
+		return 0
+	}
+	return s.table.revision - s.faults.StaleReads
+}
+
+func (s *Store) get(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	entry := s.table.get(r.PathValue("key"), s.at())
+	s.mu.Unlock()
+	if entry.Revision == 0 {
+		httpjson.Fail(w, http.StatusNotFound, "no such key")
+		return
+	}
+	httpjson.Write(w, http.StatusOK, entry)
+}
+
+func (s *Store) list(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	entries := s.table.list(r.URL.Query().Get("prefix"), s.at())
+	s.mu.Unlock()
+	httpjson.Write(w, http.StatusOK, entries)
+}
+
+func (s *Store) watch(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	after, err := strconv.ParseUint(query.Get("after"), 10, 64)
+	if err != nil {
+		httpjson.Fail(w, http.StatusBadRequest, "after is not a number")
+		return
+	}
+	waitMS, _ := strconv.ParseInt(query.Get("wait_ms"), 10, 64)
+	timer := time.NewTimer(min(maxWait, time.Duration(waitMS)*time.Millisecond))
+	defer timer.Stop()
+	for {
+		entries, changes, outage := s.look(query.Get("prefix"), after)
+		if outage {
+			httpjson.Fail(w, http.StatusServiceUnavailable, "outage")
+			return
+		}
+		if len(entries.Entries) > 0 {
+			httpjson.Write(w, http.StatusOK, entries)
+			return
+		}
+		select {
+		case <-changes:
+		case <-timer.C:
+			httpjson.Write(w, http.StatusOK, entries)
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// look returns what changed, and a channel that closes at the next change.
+func (s *Store) look(prefix string, after uint64) (platform.Entries, <-chan struct{}, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.changed(prefix, after, s.at()), s.changes, s.faults.Outage
+}
--- /dev/null
+++ b/standin/store/store_test.go
@@ -0,0 +1,215 @@
+package store
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+
+	"papayaport.dev/serving/process/platform"
+	client "papayaport.dev/serving/process/platform/store"
+)
+
+func run(t *testing.T, cfg Config) (*Store, *client.Client, string) {
+	t.Helper()
+	s := New(cfg)
+	server := httptest.NewServer(s)
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return s, client.New(&http.Client{Transport: &http.Transport{}}, server.URL, "rahmeh/"), server.URL
+}
+
+func TestCompareAndSwap(t *testing.T) {
+	ctx := context.Background()
+	s, c, _ := run(t, Config{})
+	_, err := c.Get(ctx, "config/head")
+	require.ErrorIs(t, err, client.ErrNotFound)
+	first, err := c.Put(ctx, "config/head", []byte("one"), 0)
+	require.NoError(t, err)
+
+	_, err = c.Put(ctx, "config/head", []byte("two"), 0)
+	var conflict *client.Conflict
+	require.ErrorAs(t, err, &conflict)
+	require.Equal(t, platform.Entry{Key: "config/head", Value: []byte("one"), Revision: first.Revision}, conflict.Entry)
+
+	second, err := c.Put(ctx, "config/head", []byte("two"), first.Revision)
+	require.NoError(t, err)
+	require.Greater(t, second.Revision, first.Revision)
+	_, err = c.Put(ctx, "config/other/ä b", []byte("x"), client.AnyRevision)
+	require.NoError(t, err)
+	all, err := c.List(ctx, "config/")
+	require.NoError(t, err)
+	require.Len(t, all.Entries, 2)
+	require.Equal(t, "config/other/ä b", all.Entries[1].Key)
+
+	require.ErrorAs(t, c.Delete(ctx, "config/head", first.Revision), &conflict)
+	require.NoError(t, c.Delete(ctx, "config/head", second.Revision))
+	_, err = c.Get(ctx, "config/head")
+	require.ErrorIs(t, err, client.ErrNotFound)
+	_, err = c.Put(ctx, "big", make([]byte, platform.MaxValueBytes+1), 0)
+	require.ErrorContains(t, err, "allowed")
+	require.Equal(t, Calls{Get: 2, List: 1, Put: 4, Delete: 2}, s.Calls())
+	require.Equal(t, uint64(5), c.Calls()["put"], "a value over the limit is refused before it is sent")
+}
+
+func TestWatchWaitsForChanges(t *testing.T) {
+	ctx := context.Background()
+	_, c, _ := run(t, Config{})
+	first, err := c.Put(ctx, "config/head", []byte("one"), 0)
+	require.NoError(t, err)
+	none, err := c.Watch(ctx, "config/", first.Revision, 20*time.Millisecond)
+	require.NoError(t, err)
+	require.Empty(t, none.Entries)
+
+	done := make(chan platform.Entries, 1)
+	go func() {
+		seen, _ := c.Watch(ctx, "config/", first.Revision, 10*time.Second)
+		done <- seen
+	}()
+	_, err = c.Put(ctx, "elsewhere", []byte("x"), 0)
+	require.NoError(t, err)
+	require.NoError(t, c.Delete(ctx, "config/head", first.Revision))
+	seen := <-done
+	require.Len(t, seen.Entries, 1)
+	require.True(t, seen.Entries[0].Deleted)
+	require.Equal(t, "config/head", seen.Entries[0].Key)
+}
+
+func TestLeaseIsFenced(t *testing.T) {
+	ctx := context.Background()
+	_, c, url := run(t, Config{})
+	first, err := c.Acquire(ctx, "capacity/a", "entry-1", 80*time.Millisecond)
+	require.NoError(t, err)
+	again, err := c.Acquire(ctx, "capacity/a", "entry-1", 80*time.Millisecond)
+	require.NoError(t, err)
+	require.Equal(t, first.Fencing, again.Fencing)
+	var conflict *client.Conflict
+	_, err = c.Acquire(ctx, "capacity/a", "entry-2", time.Second)
+	require.ErrorAs(t, err, &conflict)
+	require.Equal(t, "entry-1", conflict.Lease.Holder)
+
+	require.Equal(t, http.StatusOK, putUnder(t, url, "rahmeh/capacity/a", first.Fencing))
+	time.Sleep(200 * time.Millisecond)
+	_, err = c.Renew(ctx, "capacity/a", "entry-1", first.Fencing, time.Second)
+	require.ErrorAs(t, err, &conflict, "a lapsed lease is not renewed")
+	second, err := c.Acquire(ctx, "capacity/a", "entry-2", time.Minute)
+	require.NoError(t, err)
+	require.Greater(t, second.Fencing, first.Fencing)
+	require.Equal(t, http.StatusConflict, putUnder(t, url, "rahmeh/capacity/a", first.Fencing))
+	require.Error(t, c.Release(ctx, "capacity/a", "entry-1", first.Fencing))
+	require.NoError(t, c.Release(ctx, "capacity/a", "entry-2", second.Fencing))
+	_, err = c.Acquire(ctx, "capacity/a", "entry-1", time.Minute)
+	require.NoError(t, err)
+}
+
+func putUnder(t *testing.T, url, lease string, fencing uint64) int {
+	t.Helper()
+	target := fmt.Sprintf("%s%s/plan?lease=%s:%d", url, platform.KeysPath, lease, fencing)
+	req, err := http.NewRequest(http.MethodPut, target, strings.NewReader(`{"value":""}`))
+	require.NoError(t, err)
+	resp, err := http.DefaultClient.Do(req)
+	require.NoError(t, err)
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
+
+func TestFaultsTellWhatIsKnown(t *testing.T) {
+	tests := map[string]struct {
+		faults  Faults
+		err     error
+		written bool
+	}{
+		"outage":          {Faults{Outage: true}, client.ErrUnavailable, false},
+		"answer is lost":  {Faults{LoseAnswers: 1}, client.ErrUnknown, true},
+		"request is lost": {Faults{LoseRequests: 1}, client.ErrUnknown, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			ctx := context.Background()
+			s, c, _ := run(t, Config{})
+			s.SetFaults(test.faults)
+			_, err := c.Put(ctx, "key", []byte("x"), 0)
+			require.ErrorIs(t, err, test.err)
+			s.SetFaults(Faults{})
+			_, err = c.Get(ctx, "key")
+			require.Equal(t, test.written, err == nil)
+		})
+	}
+	t.Run("nobody listens", func(t *testing.T) {
+		c := client.New(http.DefaultClient, "http://127.0.0.1:1", "")
+		_, err := c.Put(context.Background(), "key", nil, 0)
+		require.ErrorIs(t, err, client.ErrUnavailable)
+	})
+	t.Run("over the rate", func(t *testing.T) {
+		s, c, _ := run(t, Config{WritesPerSecond: 4})
+		_, err := c.Put(context.Background(), "a", nil, 0)
+		require.NoError(t, err)
+		_, err = c.Put(context.Background(), "b", nil, 0)
+		require.ErrorIs(t, err, client.ErrUnavailable)
+		require.Equal(t, uint64(1), s.Calls().Limited)
+	})
+	t.Run("stale", func(t *testing.T) {
+		ctx := context.Background()
+		s, c, _ := run(t, Config{})
+		first, err := c.Put(ctx, "key", []byte("old"), 0)
+		require.NoError(t, err)
+		_, err = c.Put(ctx, "key", []byte("new"), first.Revision)
+		require.NoError(t, err)
+		s.SetFaults(Faults{StaleReads: 1})
+		entry, err := c.Get(ctx, "key")
+		require.NoError(t, err)
+		require.Equal(t, "old", string(entry.Value))
+	})
+}
+
+// A counter that is raised by compare-and-swap under lost requests and answers, each
+// resolved by reading, ends at exactly the number of resolved raises.
+func TestStatefulSwapsUnderLostAnswers(t *testing.T) {
+	ctx := context.Background()
+	s, c, _ := run(t, Config{})
+	s.SetFaults(Faults{LoseAnswers: 0.3, LoseRequests: 0.2, Seed: 7})
+	random := rand.New(rand.NewPCG(7, 7))
+	raised := map[string]int{}
+	for i := range 120 {
+		key := fmt.Sprintf("counter/%d", random.IntN(3))
+		raised[key]++
+		nonce := fmt.Sprintf("%d:%d", raised[key], i)
+		raise(ctx, t, c, key, nonce)
+	}
+	s.SetFaults(Faults{})
+	for key, count := range raised {
+		entry, err := c.Get(ctx, key)
+		require.NoError(t, err)
+		var value, by int
+		_, err = fmt.Sscanf(string(entry.Value), "%d:%d", &value, &by)
+		require.NoError(t, err)
+		require.Equal(t, count, value)
+		require.Len(t, s.table.keys["rahmeh/"+key], min(count, maxVersions), "no swap took effect twice")
+	}
+}
+
+// raise writes nonce behind the present value, and reads after every unknown effect.
+func raise(ctx context.Context, t *testing.T, c *client.Client, key, nonce string) {
+	t.Helper()
+	for range 50 {
+		entry, err := c.Get(ctx, key)
+		if err == nil && string(entry.Value) == nonce {
+			return
+		}
+		_, err = c.Put(ctx, key, []byte(nonce), entry.Revision)
+		if err == nil {
+			return
+		}
+		require.True(t, errors.Is(err, client.ErrUnknown), "%v", err)
+	}
+	require.Fail(t, "fifty lost answers in a row")
+}
--- /dev/null
+++ b/standin/store/table.go
@@ -0,0 +1,184 @@
+package store
+
+import (
+	"sort"
+	"strings"
+	"time"
+
+	"papayaport.dev/serving/process/platform"
+)
+
+// maxVersions bounds the past values that are kept of one key, for stale reads.
+const maxVersions = 64
+
+// table is the content of the store.
+type table struct {
+	revision uint64
+	// keys holds the versions of every key, oldest first.
+	keys   map[string][]platform.Entry
+	leases map[string]*held
+}
+
+// held is a lease. Its fencing number stays when it lapses.
+type held struct {
+	holder  string
+	fencing uint64
+	expires time.Time
+}
+
+func newTable() *table {
+	return &table{keys: map[string][]platform.Entry{}, leases: map[string]*held{}}
+}
+
+// get returns a key as it stood at a revision. The revision is 0 if there was none.
+func (t *table) get(key string, at uint64) platform.Entry {
+	found := platform.Entry{Key: key}
+	for _, entry := range t.keys[key] {
+		if entry.Revision <= at {
+			found = entry
+		}
+	}
+	if found.Deleted {
+		return platform.Entry{Key: key}
+	}
+	return found
+}
+
+// list returns the keys below a prefix as they stood at a revision.
+func (t *table) list(prefix string, at uint64) platform.Entries {
+	out := platform.Entries{Entries: []platform.Entry{}, Revision: at}
+	for key := range t.keys {
+		if !strings.HasPrefix(key, prefix) {
+			continue
+		}
+		if entry := t.get(key, at); entry.Revision > 0 {
+			out.Entries = append(out.Entries, entry)
+		}
+	}
+	sort.Slice(out.Entries, func(i, j int) bool { return out.Entries[i].Key < out.Entries[j].Key })
+	return out
+}
+
+// changed returns the keys below a prefix whose last change came after a revision and
+// not after at, in the order of their revisions.
+func (t *table) changed(prefix string, after, at uint64) platform.Entries {
+	out := platform.Entries{Entries: []platform.Entry{}, Revision: at}
+	for key, versions := range t.keys {
+		last := versions[len(versions)-1]
+		if strings.HasPrefix(key, prefix) && last.Revision > after && last.Revision <= at {
+			out.Entries = append(out.Entries, last)
+		}
+	}
+	sort.Slice(out.Entries, func(i, j int) bool { return out.Entries[i].Revision < out.Entries[j].Revision })
+	return out
+}
+
+// condition is what must hold for a write. Revision is nil for none.
+type condition struct {
+	revision *uint64
+	// lease and fencing name a lease that must be held with that number, "" for none.
+	lease   string
+	fencing uint64
+}
+
+// put writes a key if the condition holds, and returns what stands there.
+func (t *table) put(now time.Time, key string, value []byte, c condition) (platform.Entry, bool) {
+	return t.write(now, platform.Entry{Key: key, Value: value}, c)
+}
+
+// remove deletes a key if the condition holds.
+func (t *table) remove(now time.Time, key string, c condition) (platform.Entry, bool) {
+	if t.get(key, t.revision).Revision == 0 && (c.revision == nil || *c.revision == 0) {
+		return platform.Entry{Key: key}, true
+	}
+	return t.write(now, platform.Entry{Key: key, Deleted: true}, c)
+}
+
+func (t *table) write(now time.Time, entry platform.Entry, c condition) (platform.Entry, bool) {
+	current := t.get(entry.Key, t.revision)
+	if !t.holds(now, current, c) {
+		return current, false
+	}
+	t.revision++
+	entry.Revision = t.revision
+	versions := append(t.keys[entry.Key], entry)
+	if len(versions) > maxVersions {
+		versions = versions[len(versions)-maxVersions:]
+	}
+	t.keys[entry.Key] = versions
+	return entry, true
+}
+
+func (t *table) holds(now time.Time, current platform.Entry, c condition) bool {
+	if c.revision != nil && *c.revision != current.Revision {
+		return false
+	}
+	if c.lease == "" {
+		return true
+	}
+	lease := t.leases[c.lease]
+	return lease != nil && lease.fencing == c.fencing && now.Before(lease.expires)
+}
+
+// acquire takes a free or lapsed lease.
+func (t *table) acquire(now time.Time, name string, in platform.LeaseRequest) (platform.Lease, bool) {
+	lease := t.leases[name]
+	if lease == nil {
+		lease = &held{}
+		t.leases[name] = lease
+	}
+	free := lease.holder == "" || !now.Before(lease.expires)
+	if !free && lease.holder != in.Holder {
+		return t.lease(now, name), false
+	}
+	if free {
+		lease.holder = in.Holder
+		lease.fencing++
+	}
+	lease.expires = now.Add(ttl(in))
+	return t.lease(now, name), true
+}
+
+// renew extends a lease that is held.
+func (t *table) renew(now time.Time, name string, in platform.LeaseRequest) (platform.Lease, bool) {
+	if !t.isHeld(now, name, in) {
+		return t.lease(now, name), false
+	}
+	t.leases[name].expires = now.Add(ttl(in))
+	return t.lease(now, name), true
+}
+
+// release gives a lease up.
+func (t *table) release(now time.Time, name string, in platform.LeaseRequest) (platform.Lease, bool) {
+	if !t.isHeld(now, name, in) {
+		return t.lease(now, name), false
+	}
+	t.leases[name].holder = ""
+	return t.lease(now, name), true
+}
+
+func (t *table) isHeld(now time.Time, name string, in platform.LeaseRequest) bool {
+	lease := t.leases[name]
+	if lease == nil || lease.holder == "" || !now.Before(lease.expires) {
+		return false
+	}
+	return lease.holder == in.Holder && lease.fencing == in.Fencing
+}
+
+// lease tells who holds a lease; the holder is empty when nobody does.
+func (t *table) lease(now time.Time, name string) platform.Lease {
+	lease := t.leases[name]
+	if lease == nil {
+		return platform.Lease{Name: name}
+	}
+	out := platform.Lease{Name: name, Holder: lease.holder, Fencing: lease.fencing}
+	out.TTLMS = max(0, lease.expires.Sub(now).Milliseconds())
+	if out.TTLMS == 0 {
+		out.Holder = ""
+	}
+	return out
+}
+
+func ttl(in platform.LeaseRequest) time.Duration {
+	return time.Duration(in.TTLMS) * time.Millisecond
+}
