Race writers in the test of the stand-in store

Run since: without the check of the revision only TestCompareAndSwap failed, and TestStatefulSwapsUnderLostAnswers passed, because it had one writer. Two writers now race for each key and the test fails too without the check.

--- a/standin/engine/model_test.go
+++ b/standin/engine/model_test.go
@@ -8,7 +8,6 @@
 	"github.com/stretchr/testify/require"
 
 	wire "papayaport.dev/serving/connection/engine"
-	"papayaport.dev/serving/request/prefix"
 )
 
 var start = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
@@ -118,7 +117,7 @@
 	moved := submit(t, receiver, c)
 	texts, _ := finish(receiver)
 	require.Equal(t, Text(want), text+texts[moved])
-	require.Less(t, receiver.current().RecomputeTotal, int64(prefix.BlockTokens))
+	require.LessOrEqual(t, receiver.current().RecomputeTotal, int64(1), "the part behind the last block moves as well")
 
 	cold := New(Default())
 	submit(t, cold, c)
--- a/standin/store/store_test.go
+++ b/standin/store/store_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -171,45 +172,58 @@
 	})
 }
 
-// A counter that is raised by compare-and-swap under lost requests and answers, each
-// resolved by reading, ends at exactly the number of resolved raises.
+// Writers that race for three keys append their names by compare-and-swap under lost
+// requests and answers, each resolved by reading. The oracle: every name stands there once.
 func TestStatefulSwapsUnderLostAnswers(t *testing.T) {
-	ctx := context.Background()
 	s, c, _ := run(t, Config{})
 	s.SetFaults(Faults{LoseAnswers: 0.3, LoseRequests: 0.2, Seed: 7})
-	random := rand.New(rand.NewPCG(7, 7))
-	raised := map[string]int{}
-	for i := range 120 {
-		key := fmt.Sprintf("counter/%d", random.IntN(3))
-		raised[key]++
-		nonce := fmt.Sprintf("%d:%d", raised[key], i)
-		raise(ctx, t, c, key, nonce)
+	writers := race{c: c, random: rand.New(rand.NewPCG(7, 7))}
+	want := map[string][]string{}
+	for i := 0; i < 120; i += 2 {
+		key := fmt.Sprintf("names/%d", writers.random.IntN(3))
+		want[key] = append(want[key], fmt.Sprint(i), fmt.Sprint(i+1))
+		writers.add(t, key, fmt.Sprint(i), fmt.Sprint(i+1))
 	}
 	s.SetFaults(Faults{})
-	for key, count := range raised {
-		entry, err := c.Get(ctx, key)
-		require.NoError(t, err)
-		var value, by int
-		_, err = fmt.Sscanf(string(entry.Value), "%d:%d", &value, &by)
+	for key, names := range want {
+		entry, err := c.Get(context.Background(), key)
 		require.NoError(t, err)
-		require.Equal(t, count, value)
-		require.Len(t, s.table.keys["rahmeh/"+key], min(count, maxVersions), "no swap took effect twice")
+		require.ElementsMatch(t, names, strings.Fields(string(entry.Value)))
 	}
 }
 
-// raise writes nonce behind the present value, and reads after every unknown effect.
-func raise(ctx context.Context, t *testing.T, c *client.Client, key, nonce string) {
+type race struct {
+	c      *client.Client
+	random *rand.Rand
+}
+
+// add appends a name. The names of others are appended between its read and its write.
+func (r *race) add(t *testing.T, key, name string, others ...string) {
 	t.Helper()
 	for range 50 {
-		entry, err := c.Get(ctx, key)
-		if err == nil && string(entry.Value) == nonce {
+		entry, _ := r.c.Get(context.Background(), key)
+		if slices.Contains(strings.Fields(string(entry.Value)), name) {
+			r.addAll(t, key, others)
 			return
 		}
-		_, err = c.Put(ctx, key, []byte(nonce), entry.Revision)
+		if r.random.IntN(2) == 0 {
+			r.addAll(t, key, others)
+			others = nil
+		}
+		_, err := r.c.Put(context.Background(), key, append(entry.Value, " "+name...), entry.Revision)
 		if err == nil {
+			r.addAll(t, key, others)
 			return
 		}
-		require.True(t, errors.Is(err, client.ErrUnknown), "%v", err)
+		var conflict *client.Conflict
+		require.True(t, errors.As(err, &conflict) || errors.Is(err, client.ErrUnknown), "%v", err)
+	}
+	require.Fail(t, "fifty tries failed")
+}
+
+func (r *race) addAll(t *testing.T, key string, names []string) {
+	t.Helper()
+	for _, name := range names {
+		r.add(t, key, name)
 	}
-	require.Fail(t, "fifty lost answers in a row")
 }
