Launch the whole system as real processes on loopback

Demo, measurement and integration tests need the same surroundings: platform stand-ins, backend servers, entry instances and balancer, with faults by kill, freeze, reclaim and link.

--- /dev/null
+++ b/standin/launch/control.go
@@ -0,0 +1,143 @@
+package launch
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"os/exec"
+	"path/filepath"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"papayaport.dev/serving/process/platform/exchange"
+	"papayaport.dev/standin/cloud"
+	"papayaport.dev/standin/engine"
+	"papayaport.dev/standin/link"
+	"papayaport.dev/standin/plain"
+	"papayaport.dev/standin/store"
+)
+
+// readyEvery is the time between two looks at an entry's readiness.
+const readyEvery = 50 * time.Millisecond
+
+// Control runs papayactl against an entry's administration listener, and returns its
+// output. The error of a failed run is an *exec.ExitError.
+func (s *System) Control(ctx context.Context, entry *Process, args ...string) ([]byte, error) {
+	all := append([]string{"--address", "http://" + entry.Administration, "--token", s.OperatorToken}, args...)
+	cmd := exec.CommandContext(ctx, filepath.Join(s.plan.BinDir, "papayactl"), all...)
+	var out bytes.Buffer
+	cmd.Stdout, cmd.Stderr = &out, &out
+	err := cmd.Run()
+	return out.Bytes(), err
+}
+
+// Publish publishes service files through an entry.
+func (s *System) Publish(ctx context.Context, entry *Process, files ...string) error {
+	out, err := s.Control(ctx, entry, append([]string{"publish"}, files...)...)
+	return errors.Wrapf(err, "publishing: %s", out)
+}
+
+// PublishTenants publishes all service files of the plan's tenants through the first entry.
+func (s *System) PublishTenants(ctx context.Context) error {
+	return s.Publish(ctx, s.Entries[0], s.ServiceFiles()...)
+}
+
+// ServiceFiles returns the paths of the tenants' service files.
+func (s *System) ServiceFiles() []string {
+	var paths []string
+	for _, tenant := range s.Tenants {
+		for name := range tenant.Files {
+			paths = append(paths, filepath.Join(s.WorkDir, name))
+		}
+	}
+	return paths
+}
+
+// WaitReady waits until all running entries are ready, and the balancer sees one.
+func (s *System) WaitReady(ctx context.Context) error {
+	var group errgroup.Group
+	for _, p := range s.Entries {
+		if p.Running() {
+			group.Go(func() error { return s.WaitEntry(ctx, p) })
+		}
+	}
+	if err := group.Wait(); err != nil {
+		return err
+	}
+	return s.waitStatus(ctx, "http://"+s.Balancer+"/readyz", "the balancer")
+}
+
+// WaitEntry waits until one entry is ready.
+func (s *System) WaitEntry(ctx context.Context, p *Process) error {
+	return s.waitStatus(ctx, p.URL()+"/readyz", p.Name)
+}
+
+func (s *System) waitStatus(ctx context.Context, url, who string) error {
+	for {
+		answer, err := exchange.Do(ctx, s.http, http.MethodGet, url, nil, nil)
+		if err == nil && answer.Status == http.StatusOK {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Wrapf(ctx.Err(), "waiting until %s is ready (status %d)", who, answer.Status)
+		case <-time.After(readyEvery):
+		}
+	}
+}
+
+// SetFaults posts faults to a stand-in: engine/listener.Faults, plain.Faults,
+// store.Faults or cloud.Faults to its base URL.
+func (s *System) SetFaults(ctx context.Context, url string, faults any) error {
+	return s.post(ctx, url+"/standin/faults", faults)
+}
+
+// SetLink switches relays of a plan with links.
+func (s *System) SetLink(ctx context.Context, faults link.Faults) error {
+	return s.SetFaults(ctx, s.LinkControl, faults)
+}
+
+// Reclaim announces that the platform takes instances away. Entry instances learn it from
+// list and notices; their processes are the caller's to end.
+func (s *System) Reclaim(ctx context.Context, reclaim cloud.Reclaim) error {
+	return s.post(ctx, s.Cloud+"/standin/reclaim", reclaim)
+}
+
+func (s *System) post(ctx context.Context, url string, body any) error {
+	answer, err := exchange.Do(ctx, s.http, http.MethodPost, url, body, nil)
+	if err == nil && answer.Status/100 != 2 {
+		err = errors.Errorf("status %d", answer.Status)
+	}
+	return errors.Wrapf(err, "posting to %s", url)
+}
+
+// EngineRuns returns what an engine ran.
+func (s *System) EngineRuns(ctx context.Context, p *Process) (engine.Runs, error) {
+	var runs engine.Runs
+	err := s.get(ctx, p.URL()+"/standin/runs", &runs)
+	return runs, err
+}
+
+// ServiceRuns returns what a plain service ran.
+func (s *System) ServiceRuns(ctx context.Context, p *Process) (plain.Runs, error) {
+	var runs plain.Runs
+	err := s.get(ctx, p.URL()+"/standin/runs", &runs)
+	return runs, err
+}
+
+// StoreCalls returns the calls of the store so far.
+func (s *System) StoreCalls(ctx context.Context) (store.Calls, error) {
+	var calls store.Calls
+	err := s.get(ctx, s.Store+"/standin/calls", &calls)
+	return calls, err
+}
+
+func (s *System) get(ctx context.Context, url string, out any) error {
+	answer, err := exchange.Do(ctx, s.http, http.MethodGet, url, nil, out)
+	if err == nil && answer.Status != http.StatusOK {
+		err = errors.Errorf("status %d", answer.Status)
+	}
+	return errors.Wrapf(err, "reading %s", url)
+}
