--- a/standin/launch/launch_test.go
+++ b/standin/launch/launch_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -101,3 +103,41 @@
 	require.Error(t, s.Restart(ctx, s.Engines[0]), "nothing starts again")
 	s.Stop()
 }
+
+// parentEnv holds the programs' directory when this test binary runs as a parent that dies.
+const parentEnv = "PAPAYAPORT_TEST_PARENT"
+
+func TestChildrenDieWithTheirParent(t *testing.T) {
+	if dir := os.Getenv(parentEnv); dir != "" {
+		beParent(t, dir)
+	}
+	parent := exec.Command(os.Args[0], "-test.run", "^TestChildrenDieWithTheirParent$")
+	parent.Env = append(os.Environ(), parentEnv+"="+programs(t))
+	out, err := parent.StdoutPipe()
+	require.NoError(t, err)
+	require.NoError(t, parent.Start())
+	var pid int
+	_, err = fmt.Fscanf(out, "%d\n", &pid)
+	require.NoError(t, err)
+	require.NoError(t, syscall.Kill(pid, 0), "the child runs")
+	require.NoError(t, parent.Process.Kill())
+	_ = parent.Wait()
+	require.Eventually(t, func() bool { return ended(pid) }, 10*time.Second, 10*time.Millisecond)
+}
+
+// beParent starts a system, prints the id of one process and waits to be killed.
+func beParent(t *testing.T, dir string) {
+	s, err := Start(context.Background(), Plan{
+		BinDir: dir, Tenants: []string{tenants.Rahmeh}, Domains: []string{"a"}, Entries: -1,
+		WorkDir: filepath.Dir(dir),
+	})
+	require.NoError(t, err)
+	fmt.Println(s.Engines[0].PID())
+	time.Sleep(testTimeout)
+}
+
+// ended tells whether a process is gone or waits only for its parent to notice.
+func ended(pid int) bool {
+	state, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	return err != nil || strings.Contains(string(state), ") Z ")
+}
--- /dev/null
+++ b/standin/link/link_test.go
@@ -0,0 +1,117 @@
+package link
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// echo answers every line with the same line.
+func echo(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serveLines(conn)
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func serveLines(conn net.Conn) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for {
+		line, err := reader.ReadString('\n')
+		if err != nil {
+			return
+		}
+		_, _ = conn.Write([]byte(line))
+	}
+}
+
+// ask sends a line and tells whether it came back within a time.
+func ask(conn net.Conn, within time.Duration) bool {
+	if _, err := conn.Write([]byte("lookup\n")); err != nil {
+		return false
+	}
+	_ = conn.SetReadDeadline(time.Now().Add(within))
+	line, err := bufio.NewReader(conn).ReadString('\n')
+	return err == nil && line == "lookup\n"
+}
+
+func TestModes(t *testing.T) {
+	const short, long = 150 * time.Millisecond, 5 * time.Second
+	tests := map[string]struct {
+		faults           Faults
+		old, fresh, heal bool
+	}{
+		"pass":        {Faults{Mode: Pass}, true, true, true},
+		"cut":         {Faults{Mode: Cut}, false, false, false},
+		"freeze":      {Faults{Mode: Freeze}, false, false, true},
+		"silent":      {Faults{Mode: Silent}, false, true, false},
+		"no answers":  {Faults{Mode: NoAnswers}, false, false, true},
+		"no requests": {Faults{Mode: NoRequests}, false, false, true},
+		"slow":        {Faults{Mode: Delay, DelayMS: 400}, false, false, true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			l := New()
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			address := listener.Addr().String()
+			require.NoError(t, listener.Close())
+			require.NoError(t, l.Add(ctx, Relay{Name: "store-a", Listen: address, Target: echo(t)}))
+			conn := dial(t, address)
+			require.True(t, ask(conn, long))
+
+			test.faults.Relay = "store-*"
+			require.NoError(t, l.Set(test.faults))
+			wait := short
+			if test.old {
+				wait = long
+			}
+			require.Equal(t, test.old, ask(conn, wait), "open connection")
+			fresh := dial(t, address)
+			wait = short
+			if test.fresh {
+				wait = long
+			}
+			require.Equal(t, test.fresh, ask(fresh, wait), "new connection")
+
+			require.NoError(t, l.Set(Faults{Relay: "store-a"}))
+			require.True(t, ask(dial(t, address), long), "connection after the fault")
+			wait = short
+			if test.heal {
+				wait = long
+			}
+			require.Equal(t, test.heal, ask(conn, wait), "open connection after the fault")
+		})
+	}
+}
+
+func dial(t *testing.T, address string) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	return conn
+}
+
+func TestSetRefusesWhatItDoesNotKnow(t *testing.T) {
+	l := New()
+	require.ErrorContains(t, l.Set(Faults{Relay: "*", Mode: "explode"}), "explode")
+	require.ErrorContains(t, l.Set(Faults{Relay: "nobody"}), "nobody")
+}
