Add the demo, its texts and a caller's client

The demo starts the whole system, publishes both users' files, serves a request of each kind and one through an announced reclaim, and compares every streamed text with the one that the stand-in engine computes undisturbed.

--- /dev/null
+++ b/standin/caller/caller.go
@@ -0,0 +1,252 @@
+// Package caller is a client of papayaport's callers' listener, as a newsroom or a
+// clinic would write it: chats as streams that can be read on after a break, and calls
+// of plain services. It never repeats a request by itself.
+//
+// # Usage
+//
+//	c := caller.New(httpClient, "http://127.0.0.1:8000", key)
+//	answer, err := c.Chat(ctx, caller.Chat{Service: "farewell-llm", Messages: messages, MaxTokens: 64})
+//	reply, err := c.Call(ctx, caller.Call{Method: "POST", Path: "/arrangements-app/bookings", Key: key})
+package caller
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	wire "papayaport.dev/serving/connection/engine"
+	"papayaport.dev/serving/process/problem"
+)
+
+// Headers of callers.
+const (
+	keyHeader         = "Idempotency-Key"
+	lastEventIDHeader = "Last-Event-ID"
+)
+
+// maxEventBytes bounds one server-sent event.
+const maxEventBytes = 1 << 20
+
+// ErrTruncated tells that a stream ended before its final marker.
+var ErrTruncated = errors.New("stream ended before its final marker")
+
+// Refusal is a problem document.
+type Refusal struct{ problem.Document }
+
+// Error implements error.
+func (r *Refusal) Error() string {
+	return strconv.Itoa(r.Status) + " " + string(r.Kind) + " (" + string(r.Outcome) + "): " + r.Detail
+}
+
+// Client speaks with one address for one client account.
+type Client struct {
+	http    *http.Client
+	address string
+	key     string
+}
+
+// New returns a client for a base URL and an account's key.
+func New(httpClient *http.Client, address, key string) *Client {
+	return &Client{http: httpClient, address: address, key: key}
+}
+
+// Chat is a question to a model service.
+type Chat struct {
+	Service   string
+	Messages  []wire.Message
+	MaxTokens int
+	// RequestID names the request, so that it can be read on; empty leaves it to the entry.
+	RequestID string
+	// LastEventID continues behind an event that has been read.
+	LastEventID string
+	// Token is called for every token that arrives; nil for no call.
+	Token func(index int, text string)
+}
+
+// Answer is a streamed answer.
+type Answer struct {
+	// Text is what has arrived, and Tokens the number of its tokens.
+	Text   string
+	Tokens int
+	// LastEventID is the id of the last event that arrived.
+	LastEventID string
+	RequestID   string
+	// FirstToken is the time to the first token, and Longest the longest time between two.
+	FirstToken, Longest, Total time.Duration
+	// Usage is set when the answer is whole.
+	Usage *wire.Usage
+}
+
+// body is the caller's form of a chat.
+type body struct {
+	Model     string         `json:"model"`
+	Messages  []wire.Message `json:"messages"`
+	MaxTokens int            `json:"max_tokens"`
+	Stream    bool           `json:"stream"`
+}
+
+// Chat asks and reads the whole stream. The answer so far comes with an error as well.
+func (c *Client) Chat(ctx context.Context, chat Chat) (Answer, error) {
+	began := time.Now()
+	resp, err := c.open(ctx, chat)
+	if err != nil {
+		return Answer{}, err
+	}
+	defer resp.Body.Close()
+	answer := Answer{RequestID: resp.Header.Get(RequestIDHeader), LastEventID: chat.LastEventID}
+	err = answer.read(resp.Body, began, chat.Token)
+	answer.Total = time.Since(began)
+	return answer, err
+}
+
+func (c *Client) open(ctx context.Context, chat Chat) (*http.Response, error) {
+	data, err := json.Marshal(body{Model: chat.Service, Messages: chat.Messages, MaxTokens: chat.MaxTokens, Stream: true})
+	if err != nil {
+		return nil, errors.Wrap(err, "encoding a chat")
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.address+wire.CompletionsPath, bytes.NewReader(data))
+	if err != nil {
+		return nil, errors.Wrap(err, "building a chat")
+	}
+	req.Header.Set("Content-Type", "application/json")
+	setHeader(req, RequestIDHeader, chat.RequestID)
+	setHeader(req, lastEventIDHeader, chat.LastEventID)
+	resp, err := c.send(req)
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		defer resp.Body.Close()
+		return nil, refusal(resp)
+	}
+	return resp, nil
+}
+
+func setHeader(req *http.Request, name, value string) {
+	if value != "" {
+		req.Header.Set(name, value)
+	}
+}
+
+func (c *Client) send(req *http.Request) (*http.Response, error) {
+	req.GetBody = nil // the library repeats no request
+	req.Header.Set("Authorization", "Bearer "+c.key)
+	resp, err := c.http.Do(req)
+	return resp, errors.Wrap(err, "calling an entry")
+}
+
+func refusal(resp *http.Response) error {
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxEventBytes))
+	if err != nil {
+		return errors.Wrap(err, "reading a refusal")
+	}
+	r := &Refusal{}
+	if err := json.Unmarshal(data, &r.Document); err != nil || r.Kind == "" {
+		return errors.Errorf("status %d without a problem document: %s", resp.StatusCode, data)
+	}
+	return r
+}
+
+// read reads events until the final marker.
+func (a *Answer) read(from io.Reader, began time.Time, token func(int, string)) error {
+	var text strings.Builder
+	defer func() { a.Text = text.String() }()
+	last := began
+	scanner := bufio.NewScanner(from)
+	scanner.Buffer(nil, maxEventBytes)
+	for scanner.Scan() {
+		line := scanner.Text()
+		if id, found := strings.CutPrefix(line, "id:"); found {
+			a.LastEventID = strings.TrimSpace(id)
+		}
+		data, found := strings.CutPrefix(line, "data:")
+		if !found {
+			continue
+		}
+		data = strings.TrimSpace(data)
+		if data == "[DONE]" {
+			return nil
+		}
+		var chunk wire.Chunk
+		if err := json.Unmarshal([]byte(data), &chunk); err != nil || len(chunk.Choices) != 1 {
+			return errors.Errorf("event is invalid: %s", data)
+		}
+		a.take(chunk, &last, began)
+		if chunk.Usage != nil || chunk.Choices[0].Delta.Content == "" {
+			continue
+		}
+		text.WriteString(chunk.Choices[0].Delta.Content)
+		if token != nil {
+			token(chunk.Index, chunk.Choices[0].Delta.Content)
+		}
+	}
+	if err := scanner.Err(); err != nil {
+		return errors.Wrap(ErrTruncated, err.Error())
+	}
+	return ErrTruncated
+}
+
+func (a *Answer) take(chunk wire.Chunk, last *time.Time, began time.Time) {
+	now := time.Now()
+	if chunk.Usage != nil {
+		a.Usage = chunk.Usage
+		return
+	}
+	if a.Tokens == 0 {
+		a.FirstToken = now.Sub(began)
+	} else {
+		a.Longest = max(a.Longest, now.Sub(*last))
+	}
+	a.Tokens++
+	*last = now
+}
+
+// Call is a request to a plain service.
+type Call struct {
+	Method string
+	// Path begins with "/SERVICE".
+	Path string
+	// Key is the Idempotency-Key, empty for none.
+	Key  string
+	Body []byte
+}
+
+// Reply is the answer of a plain service.
+type Reply struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// Call sends one request. An answer of the system in place of the service's is a *Refusal.
+func (c *Client) Call(ctx context.Context, call Call) (Reply, error) {
+	req, err := http.NewRequestWithContext(ctx, call.Method, c.address+call.Path, bytes.NewReader(call.Body))
+	if err != nil {
+		return Reply{}, errors.Wrap(err, "building a call")
+	}
+	if len(call.Body) > 0 {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	setHeader(req, keyHeader, call.Key)
+	resp, err := c.send(req)
+	if err != nil {
+		return Reply{}, err
+	}
+	defer resp.Body.Close()
+	if resp.Header.Get("Content-Type") == problem.MediaType {
+		return Reply{}, refusal(resp)
+	}
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxEventBytes))
+	if err != nil {
+		return Reply{}, errors.Wrap(err, "reading a reply")
+	}
+	return Reply{Status: resp.StatusCode, Header: resp.Header, Body: data}, nil
+}
--- a/standin/command/command.go
+++ b/standin/command/command.go
@@ -15,6 +15,7 @@
 
 // commands is the table of all commands.
 type commands struct {
+	Demo     demoCommand     `cmd:"" help:"Start the whole system, serve a request of each kind and stop."`
 	Engine   engineCommand   `cmd:"" help:"Run a model engine."`
 	Service  serviceCommand  `cmd:"" help:"Run a plain service."`
 	Store    storeCommand    `cmd:"" help:"Run a key-value service."`
--- /dev/null
+++ b/standin/demo/demo.go
@@ -0,0 +1,111 @@
+// Package demo shows papayaport at work: it starts the whole system as processes on
+// loopback, publishes the service files of both users, serves a request of each kind and
+// one through an announced reclaim, checks every answer and prints what happened.
+//
+// # Usage
+//
+//	err := demo.Run(ctx, "bin", os.Stdout)
+//
+// An error tells the first wrong result. Nothing is left running.
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	wire "papayaport.dev/serving/connection/engine"
+	"papayaport.dev/standin/caller"
+	"papayaport.dev/standin/launch"
+	"papayaport.dev/standin/tenants"
+)
+
+// limit bounds the whole demo.
+const limit = 55 * time.Second
+
+// demo is one run.
+type demo struct {
+	out    io.Writer
+	system *launch.System
+	http   *http.Client
+	began  time.Time
+}
+
+// steps are the parts of the demo in their order.
+var steps = []struct {
+	name string
+	run  func(*demo, context.Context) error
+}{
+	{"publish the service files of both users", (*demo).publish},
+	{"ask twice about a long court filing", (*demo).filing},
+	{"chat at night", (*demo).nightChat},
+	{"look up a status", (*demo).lookup},
+	{"send a keyed booking twice", (*demo).booking},
+	{"answer through an announced reclaim", (*demo).reclaim},
+	{"figures", (*demo).figures},
+}
+
+// Run runs the demo with the programs in binDir.
+func Run(ctx context.Context, binDir string, out io.Writer) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	d := &demo{out: out, http: &http.Client{Transport: &http.Transport{}}, began: time.Now()}
+	system, err := launch.Start(ctx, launch.Plan{BinDir: binDir, Engine: engineConfig()})
+	if err != nil {
+		return errors.Wrap(err, "starting the system")
+	}
+	defer system.Stop()
+	d.system = system
+	d.say("started %d entry instances, %d engines and %d plain services in %d failure domains",
+		len(system.Entries), len(system.Engines), len(system.Services), len(domains(system)))
+	for _, step := range steps {
+		d.say("%s", step.name)
+		if err := step.run(d, ctx); err != nil {
+			return errors.Wrap(err, step.name)
+		}
+	}
+	system.Stop()
+	d.say("all processes stopped, every answer was right")
+	return nil
+}
+
+// say prints a line with the time since the start.
+func (d *demo) say(format string, args ...any) {
+	_, _ = fmt.Fprintf(d.out, "%6.2fs  %s\n", time.Since(d.began).Seconds(), fmt.Sprintf(format, args...))
+}
+
+// detail prints a result of a step.
+func (d *demo) detail(format string, args ...any) {
+	_, _ = fmt.Fprintf(d.out, "         - %s\n", fmt.Sprintf(format, args...))
+}
+
+func domains(s *launch.System) map[string]bool {
+	found := map[string]bool{}
+	for _, p := range s.Entries {
+		found[p.Instance.FailureDomain] = true
+	}
+	return found
+}
+
+// tenant returns one of the users.
+func (d *demo) tenant(name string) tenants.Tenant {
+	for _, t := range d.system.Tenants {
+		if t.Name == name {
+			return t
+		}
+	}
+	return tenants.Tenant{}
+}
+
+// as returns a caller behind the balancer for a client account.
+func (d *demo) as(account string) *caller.Client {
+	return caller.New(d.http, "http://"+d.system.Balancer, tenants.Key(account))
+}
+
+func user(content string) []wire.Message {
+	return []wire.Message{{Role: "user", Content: content}}
+}
