Prove the routing table by focused and stateful tests

Cause: the table had no tests of its mechanisms, and the first stateful run found that a server which the lagging instance list loses for a moment lost the count of its attempts: the table now keeps it closed until they end.

The home of a prefix passes on when its server has no free slot. A bound by mean load, tried first, moved homes on an idle fleet.

--- a/serving/request/route/attempt.go
+++ b/serving/request/route/attempt.go
@@ -8,8 +8,8 @@
 // attempt is one request sent to one backend server and not finished.
 type attempt struct {
 	backend   *backend
-	sentAt    time.Time
-	lastToken time.Time
+	sentAt    moment
+	lastToken moment
 	estimated time.Duration
 	// prefill is the number of prompt tokens that count as waiting at the server.
 	prefill int
@@ -31,18 +31,18 @@
 	a := t.takeAttempt()
 	*a = attempt{
 		backend:   b,
-		sentAt:    now,
+		sentAt:    at(now),
 		estimated: choice.mean,
 		prefill:   max(request.PromptTokens-choice.CachedTokens, 0),
 	}
 	t.attempts[id] = a
-	if b.inFlight == 0 {
-		b.health.progress = now
+	if b.own.inFlight == 0 {
+		b.health.progress = a.sentAt
 	}
-	b.inFlight++
-	b.prefillTokens += a.prefill
+	b.own.inFlight++
+	b.own.prefill += a.prefill
 	if b.reported {
-		b.unsettled.add(now, a.prefill)
+		b.unsettled.send(a.sentAt, a.prefill)
 	}
 	if t.parts.prefix {
 		b.group.known.storeAll(request.Blocks, b.column)
@@ -70,9 +70,9 @@
 		return
 	}
 	a.start()
-	a.lastToken = now
-	a.backend.health.progress = now
-	a.backend.observed.add(now, now.Sub(a.sentAt), a.estimated)
+	a.lastToken = at(now)
+	a.backend.health.progress = a.lastToken
+	a.backend.observed.add(a.lastToken, a.lastToken.since(a.sentAt), a.estimated)
 }
 
 // start ends the prefill of an attempt.
@@ -81,7 +81,7 @@
 		return
 	}
 	a.started = true
-	a.backend.prefillTokens -= a.prefill
+	a.backend.own.prefill -= a.prefill
 }
 
 // Token notes a further token of an attempt.
@@ -92,11 +92,12 @@
 	if a == nil {
 		return
 	}
-	a.backend.health.progress = now
+	last := a.lastToken
+	a.lastToken = at(now)
+	a.backend.health.progress = a.lastToken
 	if a.started {
-		a.backend.observed.addBetween(now.Sub(a.lastToken))
+		a.backend.observed.addBetween(a.lastToken.since(last))
 	}
-	a.lastToken = now
 }
 
 // Done notes the end of an attempt and the prompt tokens that the server computed,
@@ -109,31 +110,31 @@
 		return
 	}
 	delete(t.attempts, id)
-	b := a.backend
+	b, ended := a.backend, at(now)
 	if !a.started && result == OK {
-		b.observed.add(now, now.Sub(a.sentAt), a.estimated)
+		b.observed.add(ended, ended.since(a.sentAt), a.estimated)
 	}
 	a.start()
-	b.inFlight--
+	b.own.inFlight--
 	if b.reported {
-		b.unsettled.finish(now)
+		b.unsettled.finish(ended)
 	}
-	b.health.progress = now
-	b.health.add(now, result, t.random)
+	b.health.progress = ended
+	b.health.add(ended, result, t.random)
 	if len(t.spare) < maxSpare {
 		t.spare = append(t.spare, a)
 	}
 }
 
 // OnBackend returns the ids of the attempts on the known incarnation of a backend server,
-// in order; on any incarnation when the server is no longer known.
+// in order.
 func (t *Table) OnBackend(id string) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	b := t.backends[id]
 	var ids []string
 	for attemptID, a := range t.attempts {
-		if a.backend == b || (b == nil && a.backend.ID == id) {
+		if b != nil && a.backend == b {
 			ids = append(ids, attemptID)
 		}
 	}
--- a/serving/request/route/backend.go
+++ b/serving/request/route/backend.go
@@ -7,34 +7,76 @@
 	"papayaport.dev/serving/process/membership"
 )
 
-// backend is what the table knows of one incarnation of a backend server.
-type backend struct {
-	Backend
-	group  *group
-	column int
-	hash   uint64
-	gone   bool
+// moment is a time in nanoseconds since 1970. The estimates use it because every choice
+// compares several times of every candidate.
+type moment int64
 
-	leaving  bool
-	deadline time.Time
+// at returns the moment of a time.
+func at(t time.Time) moment { return moment(t.UnixNano()) }
 
-	load       engine.Load
-	reportedAt time.Time
-	reported   bool
-	peers      membership.BackendUse
-	peersAt    time.Time
+// since returns the time that passed since an earlier moment.
+func (m moment) since(earlier moment) time.Duration { return time.Duration(m - earlier) }
 
-	inFlight      int
-	prefillTokens int
-	unsettled     unsettled
+// backend is what the table knows of one incarnation of a backend server. The fields
+// that every choice reads come first.
+type backend struct {
+	column     int
+	hash       uint64
+	speed      speed
+	trip       time.Duration
+	leaving    bool
+	unlisted   bool
+	stale      bool
+	reported   bool
+	reportedAt moment
+	peersAt    moment
 
-	observed observed
-	health   health
+	// reportedInFlight and reportedPrefill are the last report's figures in requests and
+	// tokens.
+	reportedInFlight int
+	reportedPrefill  int
+	peers            use
+	own              use
+	unsettled        unsettled
+	observed         observed
+	health           health
 
+	Backend
+	group *group
+	// deadline is when a leaving server goes, unlistedAt since when the list lacks one.
+	deadline   time.Time
+	unlistedAt time.Time
+	load       engine.Load
 	// nextEvent is the sequence of the next cache event.
 	nextEvent uint64
-	// stale tells that cache events are missing since the last snapshot.
-	stale bool
+}
+
+// use is the work that entry instances have at a backend server.
+type use struct {
+	inFlight int
+	prefill  int
+}
+
+// newBackend returns an incarnation without history.
+func newBackend(b Backend) *backend {
+	added := &backend{Backend: b, hash: hashID(b.ID), nextEvent: 1}
+	added.speed = newSpeed(&added.Backend, &added.load)
+	return added
+}
+
+// report takes in a load report that describes a moment.
+func (b *backend) report(described moment, load engine.Load) {
+	b.load, b.reportedAt, b.reported = load, described, true
+	b.reportedInFlight = load.Running + load.Queued
+	b.reportedPrefill = load.PrefillTokens
+	b.speed = newSpeed(&b.Backend, &b.load)
+	b.unsettled.settle(described)
+}
+
+// setPeers takes in the other entry instances' work.
+func (b *backend) setPeers(now moment, peers membership.BackendUse) {
+	b.peers = use{inFlight: peers.InFlight, prefill: peers.PrefillTokens}
+	b.peersAt = now
 }
 
 // group is the backend servers of one service with the knowledge of their caches.
@@ -67,7 +109,6 @@
 
 // remove forgets a backend server and what was known of its cache.
 func (g *group) remove(b *backend) {
-	b.gone = true
 	g.known.clear(b.column)
 	g.columns[b.column] = nil
 	for i, other := range g.backends {
--- /dev/null
+++ b/serving/request/route/backend_test.go
@@ -0,0 +1,218 @@
+package route_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"papayaport.dev/serving/connection/engine"
+	"papayaport.dev/serving/process/membership"
+	"papayaport.dev/serving/request/prefix"
+	"papayaport.dev/serving/request/route"
+)
+
+func TestSettledWorkIsNotCountedTwice(t *testing.T) {
+	table := newTable(t, route.LeastInFlight, 2)
+	choice := send(t, table, start, "one", filing("a", 1))
+	table.Sent(start, "one", choice, filing("a", 1))
+	require.Equal(t, []membership.BackendUse{{Backend: choice.Backend.ID, InFlight: 1, PrefillTokens: 128}}, table.Use())
+	require.Equal(t, []string{"one"}, table.OnBackend(choice.Backend.ID))
+	table.FirstToken(start, "one", 0)
+	require.Zero(t, table.Use()[0].PrefillTokens)
+	table.Done(start, "one", route.OK, 128)
+	table.Done(start, "one", route.OK, 128)
+	require.Empty(t, table.Use())
+}
+
+func TestLeavingIncarnations(t *testing.T) {
+	gone := start.Add(30 * time.Second)
+	second := backends(1)
+	second[0].Incarnation = 2
+	cases := map[string]struct {
+		steps func(table *route.Table)
+		want  bool
+	}{
+		"notice":                     {func(table *route.Table) { table.Leaving(start, id(0), 1, gone) }, false},
+		"notice of an older one":     {func(table *route.Table) { table.Leaving(start, id(0), 0, gone) }, true},
+		"list still shows it":        {func(table *route.Table) { table.Leaving(start, id(0), 1, gone); table.SetBackends(gone, backends(1)) }, false},
+		"new incarnation takes work": {func(table *route.Table) { table.Leaving(start, id(0), 1, gone); table.SetBackends(start, second) }, true},
+		"old list after the new one": {func(table *route.Table) { table.SetBackends(start, second); table.SetBackends(start, backends(1)) }, true},
+		"notice before the list":     {func(table *route.Table) { table.Leaving(start, id(0), 2, gone); table.SetBackends(start, second) }, false},
+		"list loses and finds it again": {func(table *route.Table) {
+			table.Leaving(start, id(0), 1, gone)
+			table.SetBackends(start, nil)
+			table.SetBackends(start.Add(time.Minute), backends(1))
+		}, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			table := newTable(t, route.Papayaport, 1)
+			c.steps(table)
+			_, err := table.Choose(start, filing("a", 1))
+			require.Equal(t, c.want, err == nil)
+		})
+	}
+}
+
+func TestNewIncarnationHasNoHistory(t *testing.T) {
+	table := newTable(t, route.Papayaport, 1)
+	send(t, table, start, "old", filing("a", 4))
+	second := backends(1)
+	second[0].Incarnation = 2
+	table.SetBackends(start, second)
+	require.Empty(t, table.Use())
+	require.Empty(t, table.OnBackend(id(0)))
+	require.Zero(t, choose(t, table, start, filing("a", 4)).CachedTokens)
+	table.Done(start, "old", route.Failed, 0)
+	require.Empty(t, table.Use())
+}
+
+func TestCacheEvents(t *testing.T) {
+	request := filing("a", 4)
+	stored := func(first uint64, blocks ...prefix.Block) engine.CacheEvents {
+		events := engine.CacheEvents{Incarnation: 1}
+		for i, block := range blocks {
+			events.Events = append(events.Events, engine.CacheEvent{Sequence: first + uint64(i), Block: uint64(block), Stored: true})
+			events.Next = first + uint64(i)
+		}
+		return events
+	}
+	dropped := func(sequence uint64, block prefix.Block) engine.CacheEvents {
+		return engine.CacheEvents{Next: sequence, Events: []engine.CacheEvent{{Sequence: sequence, Block: uint64(block)}}}
+	}
+	snapshot := engine.CacheEvents{Next: 9, Snapshot: []uint64{uint64(request.Blocks[0])}}
+	cases := map[string]struct {
+		batches []engine.CacheEvents
+		tokens  int
+		stale   bool
+	}{
+		"stored":              {[]engine.CacheEvents{stored(1, request.Blocks...)}, 512, false},
+		"end dropped":         {[]engine.CacheEvents{stored(1, request.Blocks...), dropped(5, request.Blocks[3])}, 384, false},
+		"hole in the chain":   {[]engine.CacheEvents{stored(1, request.Blocks...), dropped(5, request.Blocks[1])}, 128, false},
+		"doubled":             {[]engine.CacheEvents{stored(1, request.Blocks...), dropped(5, request.Blocks[3]), stored(4, request.Blocks[3])}, 384, false},
+		"gap":                 {[]engine.CacheEvents{stored(1, request.Blocks[:2]...), stored(4, request.Blocks[2:]...)}, 256, true},
+		"gap at the end":      {[]engine.CacheEvents{stored(1, request.Blocks...), {Next: 7}}, 256, true},
+		"snapshot after gap":  {[]engine.CacheEvents{stored(1, request.Blocks[:2]...), stored(4, request.Blocks[2:]...), snapshot}, 128, false},
+		"events behind it":    {[]engine.CacheEvents{snapshot, stored(10, request.Blocks[1])}, 256, false},
+		"foreign incarnation": {[]engine.CacheEvents{{Incarnation: 7, Next: 1, Events: stored(1, request.Blocks...).Events}}, 0, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			table := newTable(t, route.Papayaport, 1)
+			stale := false
+			for _, batch := range c.batches {
+				stale = table.CacheEvents(start, id(0), batch)
+			}
+			require.Equal(t, c.stale, stale)
+			require.Equal(t, c.tokens, choose(t, table, start, request).CachedTokens)
+		})
+	}
+}
+
+// TestBadServersLoseWork lets the cheapest of four servers misbehave and counts the work it gets
+// at once, and after it has behaved again.
+func TestBadServersLoseWork(t *testing.T) {
+	cases := map[string]struct {
+		result route.Result
+		first  time.Duration
+	}{
+		"failing": {route.Failed, 0},
+		"silent":  {route.Silent, 0},
+		"wrong":   {route.Wrong, 0},
+		"slow":    {route.OK, 3 * time.Second},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			list := backends(4)
+			list[0].PricePerHour = 0.5
+			table := seededTable(t, route.Papayaport, list, 1)
+			now := start
+			require.Greater(t, share(t, table, &now, 200, nil), 150)
+			bad := share(t, table, &now, 200, func(attempt string) bool {
+				if c.first > 0 {
+					table.FirstToken(now.Add(c.first), attempt, 0)
+				}
+				table.Done(now.Add(c.first), attempt, c.result, 0)
+				return true
+			})
+			require.Less(t, bad, 20)
+			now = now.Add(time.Minute)
+			early := share(t, table, &now, 20, nil)
+			require.Less(t, early, 20)
+			for range 5 {
+				now = now.Add(10 * time.Second)
+				share(t, table, &now, 200, nil)
+			}
+			late := share(t, table, &now, 200, nil)
+			require.Greater(t, late, 150)
+			t.Log(bad, early, late)
+		})
+	}
+}
+
+// share sends count short requests, 10 ms apart and answered 100 ms after they were sent,
+// and returns how many went to the first server. The server's attempts end as misbehave
+// says when it is given.
+func share(t *testing.T, table *route.Table, now *time.Time, count int, misbehave func(attempt string) bool) int {
+	t.Helper()
+	got := 0
+	request := route.Request{Service: "model-bench", PromptTokens: 100, AnswerTokens: 20, Target: target}
+	var open []string
+	for i := range count {
+		*now = now.Add(10 * time.Millisecond)
+		attempt := fmt.Sprintf("%d-%d", now.UnixNano(), i)
+		choice := send(t, table, *now, attempt, request)
+		if len(open) >= 10 {
+			table.FirstToken(*now, open[0], 0)
+			table.Done(*now, open[0], route.OK, 0)
+			open = open[1:]
+		}
+		if choice.Backend.ID != id(0) {
+			open = append(open, attempt)
+			continue
+		}
+		got++
+		if misbehave == nil || !misbehave(attempt) {
+			open = append(open, attempt)
+		}
+	}
+	for _, attempt := range open {
+		table.Done(*now, attempt, route.OK, 0)
+	}
+	return got
+}
+
+func TestStalledServerIsAvoidedBeforeItsAttemptsEnd(t *testing.T) {
+	list := backends(2)
+	list[1].PricePerHour = 2
+	table := seededTable(t, route.Papayaport, list, 1)
+	request := route.Request{Service: "model-bench", PromptTokens: 100, AnswerTokens: 20, Target: target}
+	require.Equal(t, id(0), send(t, table, start, "one", request).Backend.ID)
+	later := start.Add(4 * time.Second)
+	table.Report(later, id(0), load(0))
+	table.Report(later, id(1), load(0))
+	require.Equal(t, id(1), choose(t, table, later, request).Backend.ID)
+	table.Token(later, "one")
+	require.Equal(t, id(0), choose(t, table, later, request).Backend.ID)
+}
+
+// TestBarredServerComesBackSlowly counts how many requests a server that lost trust may
+// run at once after its bar has passed.
+func TestBarredServerComesBackSlowly(t *testing.T) {
+	list := backends(2)
+	list[0].PricePerHour = 0.5
+	table := seededTable(t, route.Papayaport, list, 1)
+	request := route.Request{Service: "model-bench", PromptTokens: 10, AnswerTokens: 20, Target: target}
+	send(t, table, start, "wrong", request)
+	table.Done(start, "wrong", route.Wrong, 0)
+	now := start.Add(time.Minute)
+	taken := 0
+	for i := range 8 {
+		if send(t, table, now, fmt.Sprint(i), request).Backend.ID == id(0) {
+			taken++
+		}
+	}
+	require.Equal(t, 1, taken)
+}
--- a/serving/request/route/choose.go
+++ b/serving/request/route/choose.go
@@ -17,14 +17,15 @@
 	if g == nil || len(g.backends) == 0 {
 		return Choice{}, problem.New(problem.NoBackend, "service %s has no live backend server", request.Service)
 	}
-	t.collect(now, g, &request)
+	t.request = request
+	t.collect(now, g)
 	if len(t.candidates) == 0 {
 		t.candidates, t.barred = t.barred, t.candidates
 	}
 	if len(t.candidates) == 0 {
-		return Choice{}, problem.New(problem.NoBackend, "all backend servers of service %s are leaving", request.Service)
+		return Choice{}, problem.New(problem.NoBackend, "all backend servers of service %s are leaving or gone", request.Service)
 	}
-	picked := &t.candidates[t.policy.Pick(t.candidates, &request, t.random)]
+	picked := &t.candidates[t.policy.Pick(t.candidates, &t.request, t.random)]
 	return Choice{
 		Backend:      picked.backend.Backend,
 		CachedTokens: picked.CachedTokens,
@@ -34,39 +35,48 @@
 	}, nil
 }
 
+// ask returns what the estimates of the present request have in common.
+func (t *Table) ask(now time.Time, g *group) question {
+	q := question{
+		now: at(now), request: &t.request, hasBlocks: len(t.request.Blocks) > 0,
+		answerTokens: t.request.AnswerTokens, spread: spread(t.request.Target),
+	}
+	if q.answerTokens <= 0 {
+		q.answerTokens = usualAnswerTokens
+	}
+	if !q.hasBlocks {
+		return q
+	}
+	q.home = homeBlock(t.request.Blocks)
+	if t.parts.prefix {
+		q.depths = g.known.depth(t.request.Blocks)
+	}
+	return q
+}
+
 // collect fills the candidates, and apart from them those that are only a last resort.
-func (t *Table) collect(now time.Time, g *group, request *Request) {
+func (t *Table) collect(now time.Time, g *group) {
 	t.candidates, t.barred = t.candidates[:0], t.barred[:0]
-	hasBlocks := len(request.Blocks) > 0
-	var depths []int32
-	if hasBlocks && t.parts.prefix {
-		depths = g.known.depth(request.Blocks)
-	}
-	spread := spread(request.Target)
+	q := t.ask(now, g)
 	for _, b := range g.backends {
-		if b.leaving {
+		if b.leaving || b.unlisted {
 			continue
 		}
-		c := Candidate{backend: b}
-		if hasBlocks {
-			c.Rank = rank(homeBlock(request.Blocks), b.hash)
-		}
-		if depths != nil {
-			c.CachedTokens = min(b.cachedTokens(depths[b.column]), request.PromptTokens)
-		}
-		t.estimate(now, &c, request, spread)
-		if t.isLastResort(now, &c, request) {
-			t.barred = append(t.barred, c)
-			continue
+		t.candidates = append(t.candidates, Candidate{backend: b})
+		last := len(t.candidates) - 1
+		c := &t.candidates[last]
+		t.estimate(c, &q)
+		if t.isLastResort(c, &q) {
+			t.barred = append(t.barred, *c)
+			t.candidates = t.candidates[:last]
 		}
-		t.candidates = append(t.candidates, c)
 	}
 }
 
 // isLastResort tells whether a candidate is to be taken only when there is no other.
-func (t *Table) isLastResort(now time.Time, c *Candidate, request *Request) bool {
-	if slices.Contains(request.Exclude, c.backend.ID) {
+func (t *Table) isLastResort(c *Candidate, q *question) bool {
+	if len(q.request.Exclude) > 0 && slices.Contains(q.request.Exclude, c.backend.ID) {
 		return true
 	}
-	return t.parts.health && !c.backend.health.admits(now, c.InFlight, c.backend.slots())
+	return t.parts.health && !c.backend.health.admits(q.now, c.InFlight, c.backend.speed.slots)
 }
--- a/serving/request/route/choose_test.go
+++ b/serving/request/route/choose_test.go
@@ -26,10 +26,15 @@
 // newTable returns a table with count engines in two failure domains at the same price.
 func newTable(t testing.TB, policy string, count int) *route.Table {
 	t.Helper()
-	table, err := route.New(self, policy, rand.New(rand.NewPCG(1, 2)))
+	return seededTable(t, policy, backends(count), 1)
+}
+
+func seededTable(t testing.TB, policy string, list []route.Backend, seed uint64) *route.Table {
+	t.Helper()
+	table, err := route.New(self, policy, rand.New(rand.NewPCG(seed, 2)))
 	require.NoError(t, err)
-	table.SetBackends(start, backends(count))
-	for _, b := range backends(count) {
+	table.SetBackends(start, list)
+	for _, b := range list {
 		table.Report(start, b.ID, load(0))
 	}
 	return table
@@ -68,6 +73,14 @@
 	return choice
 }
 
+// send chooses a server and notes the attempt as sent.
+func send(t testing.TB, table *route.Table, now time.Time, attempt string, request route.Request) route.Choice {
+	t.Helper()
+	choice := choose(t, table, now, request)
+	table.Sent(now, attempt, choice, request)
+	return choice
+}
+
 func TestChooseWithoutBackends(t *testing.T) {
 	table := newTable(t, route.Papayaport, 2)
 	_, err := table.Choose(start, route.Request{Service: "other"})
@@ -78,11 +91,192 @@
 	require.Equal(t, problem.NoBackend, problem.From(err).Kind)
 }
 
-func TestSettledWorkIsNotCountedTwice(t *testing.T) {
-	table := newTable(t, route.LeastInFlight, 2)
-	choice := choose(t, table, start, filing("a", 1))
-	table.Sent(start, "one", choice, filing("a", 1))
-	require.Equal(t, []membership.BackendUse{{Backend: choice.Backend.ID, InFlight: 1, PrefillTokens: 128}}, table.Use())
-	table.Done(start, "one", route.OK, 128)
-	require.Empty(t, table.Use())
+func TestUnknownPolicy(t *testing.T) {
+	_, err := route.New(self, "fastest", rand.New(rand.NewPCG(1, 1)))
+	require.ErrorContains(t, err, "round_robin")
+}
+
+func TestChooseByPriceAndTarget(t *testing.T) {
+	cases := map[string]struct {
+		cheap, dear engine.Load
+		want        int
+	}{
+		"cheap one meets the target":      {load(0), load(0), 0},
+		"cheap one queues":                {load(60), load(0), 1},
+		"cheap one has a prefill backlog": {engine.Load{Slots: 8, PrefillPerSec: 8000, DecodeMS: 10, PrefillTokens: 6000}, load(0), 1},
+		"cheap one decodes slowly":        {engine.Load{Slots: 8, PrefillPerSec: 8000, DecodeMS: 40}, load(0), 1},
+		"none meets it, cheap is faster":  {load(30), load(90), 0},
+		"none meets it, dear is faster":   {load(90), load(30), 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			list := backends(2)
+			list[0].PricePerHour, list[1].PricePerHour = 1, 1.5
+			list[1].FailureDomain = list[0].FailureDomain
+			table := seededTable(t, route.Papayaport, list, 1)
+			table.Report(start, id(0), c.cheap)
+			table.Report(start, id(1), c.dear)
+			request := route.Request{Service: "model-bench", PromptTokens: 400, AnswerTokens: 50, Target: target}
+			require.Equal(t, id(c.want), choose(t, table, start, request).Backend.ID)
+		})
+	}
+}
+
+func TestLaterQuestionsFollowTheFiling(t *testing.T) {
+	table := newTable(t, route.Papayaport, 12)
+	for i := range 20 {
+		name := fmt.Sprintf("filing %d", i)
+		first := send(t, table, start, name, filing(name, 20))
+		require.Zero(t, first.CachedTokens)
+		table.Done(start, name, route.OK, 0)
+		longer := filing(name, 22)
+		again := choose(t, table, start.Add(time.Second), longer)
+		require.Equal(t, first.Backend.ID, again.Backend.ID)
+		require.Equal(t, 20*prefix.BlockTokens, again.CachedTokens)
+	}
+}
+
+func TestEntriesAgreeOnHomes(t *testing.T) {
+	one := seededTable(t, route.Papayaport, backends(12), 1)
+	other := seededTable(t, route.Papayaport, backends(12), 99)
+	used := map[string]bool{}
+	for i := range 60 {
+		name := fmt.Sprintf("filing %d", i)
+		choice := choose(t, one, start, filing(name, 17+i%5))
+		require.Equal(t, choice.Backend.ID, choose(t, other, start, filing(name, 24+i%5)).Backend.ID)
+		used[choice.Backend.ID] = true
+	}
+	require.Greater(t, len(used), 9)
+}
+
+func TestHotPrefixOverflowsToTheSameServer(t *testing.T) {
+	one := seededTable(t, route.Papayaport, backends(12), 1)
+	other := seededTable(t, route.Papayaport, backends(12), 99)
+	for i := range 20 {
+		request := filing(fmt.Sprintf("filing %d", i), 20)
+		home := choose(t, one, start, request).Backend.ID
+		for _, table := range []*route.Table{one, other} {
+			table.Report(start, home, load(12))
+		}
+		next := choose(t, one, start, request).Backend.ID
+		require.NotEqual(t, home, next)
+		require.Equal(t, next, choose(t, other, start, request).Backend.ID)
+		for _, table := range []*route.Table{one, other} {
+			table.Report(start, home, load(0))
+		}
+	}
+}
+
+func TestSlowFilingsGoHomeToo(t *testing.T) {
+	one := seededTable(t, route.Papayaport, backends(12), 1)
+	other := seededTable(t, route.Papayaport, backends(12), 99)
+	for i := range 20 {
+		request := filing(fmt.Sprintf("filing %d", i), 60)
+		choice := choose(t, one, start, request)
+		require.Greater(t, choice.FirstToken.Seconds()*1000, target.FirstTokenMS)
+		require.Equal(t, choice.Backend.ID, choose(t, other, start, request).Backend.ID)
+	}
+}
+
+func TestHotPrefixSpreads(t *testing.T) {
+	table := newTable(t, route.Papayaport, 4)
+	hot := filing("the one filing of the day", 30)
+	counts := map[string]int{}
+	for i := range 80 {
+		counts[send(t, table, start, fmt.Sprint(i), hot).Backend.ID]++
+	}
+	require.Len(t, counts, 4)
+	for backend, count := range counts {
+		require.LessOrEqual(t, count, 40, backend)
+	}
+}
+
+func TestUnsettledSendsCount(t *testing.T) {
+	request := route.Request{Service: "model-bench", PromptTokens: 400, AnswerTokens: 50, Target: target}
+	cases := map[string]func(table *route.Table){
+		"own sends since the report": func(table *route.Table) {
+			for i := range 30 {
+				table.Sent(start.Add(time.Millisecond), fmt.Sprint(i), choiceOf(0), request)
+			}
+			table.Report(start.Add(100*time.Millisecond), id(0), aged(load(0), 200))
+		},
+		"peers' requests": func(table *route.Table) {
+			use := membership.BackendUse{Backend: id(0), InFlight: 30}
+			table.Peers(start, membership.Totals{Entries: 1, ByBackend: map[string]membership.BackendUse{id(0): use}})
+		},
+		"peers' prompts": func(table *route.Table) {
+			use := membership.BackendUse{Backend: id(0), InFlight: 1, PrefillTokens: 12000}
+			table.Peers(start, membership.Totals{Entries: 1, ByBackend: map[string]membership.BackendUse{id(0): use}})
+		},
+		"the report itself": func(table *route.Table) { table.Report(start, id(0), load(30)) },
+	}
+	for name, burden := range cases {
+		t.Run(name, func(t *testing.T) {
+			list := backends(2)
+			list[1].PricePerHour = 2
+			table := seededTable(t, route.Papayaport, list, 1)
+			require.Equal(t, id(0), choose(t, table, start, request).Backend.ID)
+			burden(table)
+			require.Equal(t, id(1), choose(t, table, start.Add(100*time.Millisecond), request).Backend.ID)
+		})
+	}
+}
+
+func TestReportedSendsAreNotCountedTwice(t *testing.T) {
+	request := route.Request{Service: "model-bench", PromptTokens: 40, AnswerTokens: 50, Target: target}
+	list := backends(2)
+	list[1].PricePerHour = 2
+	table := seededTable(t, route.Papayaport, list, 1)
+	for i := range 10 {
+		table.Sent(start, fmt.Sprint(i), choiceOf(0), request)
+	}
+	now := start.Add(100 * time.Millisecond)
+	table.Report(now, id(0), aged(load(10), 50))
+	require.Equal(t, id(0), choose(t, table, now, request).Backend.ID)
+}
+
+func TestKnownBlocksBeyondTheCacheCountLess(t *testing.T) {
+	table := newTable(t, route.Papayaport, 1)
+	small := load(0)
+	small.CacheCapacity = 20 * prefix.BlockTokens
+	table.Report(start, id(0), small)
+	for _, name := range []string{"a", "b"} {
+		send(t, table, start, name, filing(name, 20))
+	}
+	require.Equal(t, 10*prefix.BlockTokens, choose(t, table, start, filing("b", 20)).CachedTokens)
+}
+
+func choiceOf(i int) route.Choice { return route.Choice{Backend: backends(i + 1)[i]} }
+
+func aged(l engine.Load, ms int64) engine.Load {
+	l.AgeMS = ms
+	return l
+}
+
+func TestExcludedAreLastResort(t *testing.T) {
+	table := newTable(t, route.Papayaport, 2)
+	request := filing("a", 4)
+	request.Exclude = []string{id(0)}
+	require.Equal(t, id(1), choose(t, table, start, request).Backend.ID)
+	request.Exclude = []string{id(0), id(1)}
+	choose(t, table, start, request)
+}
+
+func TestPlainServiceSpreadsByLoad(t *testing.T) {
+	list := backends(4)
+	for i := range list {
+		list[i].Service = "desk-app"
+	}
+	table, err := route.New(self, route.Papayaport, rand.New(rand.NewPCG(1, 1)))
+	require.NoError(t, err)
+	table.SetBackends(start, list)
+	counts := map[string]int{}
+	for i := range 80 {
+		request := route.Request{Service: "desk-app", Target: service.LatencyTarget{FirstTokenMS: 100, Quantile: 0.95}}
+		counts[send(t, table, start, fmt.Sprint(i), request).Backend.ID]++
+	}
+	require.Len(t, counts, 4)
+	for backend, count := range counts {
+		require.InDelta(t, 20, count, 5, backend)
+	}
 }
--- a/serving/request/route/estimate.go
+++ b/serving/request/route/estimate.go
@@ -9,16 +9,8 @@
 )
 
 const (
-	// usualPrefillPerSec stands for a server that reported no prefill rate, in tokens.
-	usualPrefillPerSec = 8000
-	// usualDecode stands for a server that reported no time between tokens.
-	usualDecode = 20 * time.Millisecond
-	// usualSlots stands for a server whose number of slots is not known.
-	usualSlots = 8
 	// usualAnswerTokens stands for a request that names no answer length.
 	usualAnswerTokens = 64
-	// usualPrice stands for an instance without a price, in dollars per hour.
-	usualPrice = 1.0
 
 	// Round trips to backend servers by distance.
 	sameDomainTrip  = 300 * time.Microsecond
@@ -34,153 +26,71 @@
 	absoluteDeviation = 1.2533
 )
 
-// sent is one request sent since the last report.
-type sent struct {
-	at     time.Time
-	tokens int
+// question is what the estimates of one request have in common.
+type question struct {
+	now     moment
+	request *Request
+	// home names the prompt's home when the request has blocks.
+	home      prefix.Block
+	hasBlocks bool
+	// depths holds the known blocks by column; nil means none.
+	depths       []int32
+	answerTokens int
+	// spread is the number of standard deviations at the target's quantile.
+	spread float64
 }
 
-// unsettled holds what was sent after the moment that the last report describes.
-type unsettled struct {
-	sends  []sent
-	tokens int
-	// finished is the number of attempts that ended since that moment.
-	finished []time.Time
-}
-
-// maxUnsettled bounds the sends remembered for a server that stopped reporting.
-const maxUnsettled = 256
-
-// add notes a send.
-func (u *unsettled) add(now time.Time, tokens int) {
-	if len(u.sends) >= maxUnsettled {
-		u.settle(u.sends[0].at)
-	}
-	u.sends = append(u.sends, sent{now, tokens})
-	u.tokens += tokens
-}
-
-// finish notes the end of an attempt.
-func (u *unsettled) finish(now time.Time) {
-	if len(u.finished) >= maxUnsettled {
-		u.finished = append(u.finished[:0], u.finished[1:]...)
-	}
-	u.finished = append(u.finished, now)
-}
-
-// settle forgets what a report of the given moment already counts.
-func (u *unsettled) settle(moment time.Time) {
-	settled := 0
-	for settled < len(u.sends) && !u.sends[settled].at.After(moment) {
-		u.tokens -= u.sends[settled].tokens
-		settled++
-	}
-	u.sends = append(u.sends[:0], u.sends[settled:]...)
-	settled = 0
-	for settled < len(u.finished) && !u.finished[settled].After(moment) {
-		settled++
-	}
-	u.finished = append(u.finished[:0], u.finished[settled:]...)
-}
-
-// prefillRate returns the server's prefill rate in tokens a second.
-func (b *backend) prefillRate() float64 {
-	if b.load.PrefillPerSec > 0 {
-		return b.load.PrefillPerSec
-	}
-	return usualPrefillPerSec
-}
-
-// prefillTime returns the time to compute a number of prompt tokens.
-func (b *backend) prefillTime(tokens int) time.Duration {
-	return time.Duration(float64(tokens) / b.prefillRate() * float64(time.Second))
-}
-
-// prefillCost returns the price of computing a number of prompt tokens, in dollars.
-func (b *backend) prefillCost(tokens int) float64 {
-	return float64(tokens) / b.prefillRate() * b.pricePerSecond()
-}
-
-// pricePerSecond returns the instance's price in dollars a second.
-func (b *backend) pricePerSecond() float64 {
-	price := b.PricePerHour
-	if price <= 0 {
-		price = usualPrice
-	}
-	return price / time.Hour.Seconds()
-}
-
-// slots returns the number of requests that the server runs at a time.
-func (b *backend) slots() int {
-	if b.load.Slots > 0 {
-		return b.load.Slots
-	}
-	if b.Slots > 0 {
-		return b.Slots
-	}
-	return usualSlots
-}
-
-// betweenTokens returns the estimated time between two tokens of an answer.
-func (b *backend) betweenTokens() time.Duration {
-	reported := time.Duration(b.load.DecodeMS * float64(time.Millisecond))
-	if b.observed.between > reported {
-		return b.observed.between
-	}
-	if reported > 0 {
-		return reported
-	}
-	return usualDecode
+// reportFresh tells whether the last report still says something about the load.
+func (b *backend) reportFresh(now moment) bool {
+	return b.reported && now.since(b.reportedAt) < reportLife
 }
 
 // estimatedInFlight returns the requests at the server: the larger of what this and the
 // other entry instances count and what the server reported together with later sends.
-func (b *backend) estimatedInFlight(now time.Time, p parts) int {
-	reported := b.load.Running + b.load.Queued
+func (b *backend) estimatedInFlight(fresh bool, p parts) int {
 	if !p.unsettled {
-		return reported
+		return b.reportedInFlight
 	}
-	counted := b.inFlight + b.peers.InFlight
-	if !b.reportFresh(now) {
+	counted := b.own.inFlight + b.peers.inFlight
+	if !fresh {
 		return counted
 	}
-	return max(reported+len(b.unsettled.sends)-len(b.unsettled.finished), counted)
-}
-
-// reportFresh tells whether the last report still says something about the load.
-func (b *backend) reportFresh(now time.Time) bool {
-	return b.reported && now.Sub(b.reportedAt) < reportLife
+	return max(b.reportedInFlight+b.unsettled.inFlight(), counted)
 }
 
 // estimatedPrefill returns the prompt tokens that wait at the server, less what it has
-// computed since the report.
-func (b *backend) estimatedPrefill(now time.Time, p parts) int {
-	reported := b.load.PrefillTokens
+// computed since they were reported.
+func (b *backend) estimatedPrefill(now moment, fresh bool, p parts) int {
 	if !p.unsettled {
-		return reported
+		return b.reportedPrefill
+	}
+	counted := b.own.prefill
+	if b.peers.prefill > 0 {
+		counted += max(b.peers.prefill-b.speed.computable(now.since(b.peersAt)), 0)
 	}
-	counted := b.prefillTokens + max(b.peers.PrefillTokens-b.computable(now, b.peersAt), 0)
-	if !b.reportFresh(now) {
+	reported := b.reportedPrefill + b.unsettled.tokens
+	if !fresh || reported <= counted {
 		return counted
 	}
-	return max(reported+b.unsettled.tokens-b.computable(now, b.reportedAt), counted)
+	return max(reported-b.speed.computable(now.since(b.reportedAt)), counted)
 }
 
-// computable returns the prompt tokens that the server can compute between two moments.
-func (b *backend) computable(now, since time.Time) int {
-	return int(now.Sub(since).Seconds() * b.prefillRate())
+// betweenTokens returns the estimated time between two tokens of an answer.
+func (b *backend) betweenTokens() time.Duration {
+	return max(b.observed.between, b.speed.between)
 }
 
-// cachedTokens turns a depth of known blocks into the tokens that count as cached.
+// cachedTokens turns a depth of known blocks into the tokens that count as cached. When
+// more is known than fits into the server's cache, a part of it must be gone.
 func (b *backend) cachedTokens(depth int32) int {
-	tokens := float64(int(depth) * prefix.BlockTokens)
+	tokens := int(depth) * prefix.BlockTokens
 	if b.stale {
-		tokens *= staleTrust
+		tokens = int(float64(tokens) * staleTrust)
 	}
-	if held := b.group.known.counts[b.column] * prefix.BlockTokens; b.load.CacheCapacity > 0 && held > b.load.CacheCapacity {
-		tokens *= float64(b.load.CacheCapacity) / float64(held)
+	if held := b.group.known.counts[b.column]; b.speed.cacheBlocks > 0 && held > b.speed.cacheBlocks {
+		tokens = tokens * b.speed.cacheBlocks / held
 	}
-	return int(tokens)
+	return tokens
 }
 
 // trip returns the round trip from the entry instance to the server.
@@ -196,25 +106,28 @@
 }
 
 // estimate fills a candidate with everything that depends on its server and the request.
-func (t *Table) estimate(now time.Time, c *Candidate, request *Request, spread float64) {
+func (t *Table) estimate(c *Candidate, q *question) {
 	b := c.backend
-	c.OwnInFlight = b.inFlight
-	c.InFlight = b.estimatedInFlight(now, t.parts)
-	c.BetweenTokens = b.betweenTokens()
-	answer := request.AnswerTokens
-	if answer <= 0 {
-		answer = usualAnswerTokens
+	if q.hasBlocks {
+		c.Rank = rank(q.home, b.hash)
 	}
-	uncached := max(request.PromptTokens-c.CachedTokens, 0)
-	decode := time.Duration(answer) * c.BetweenTokens
-	first := b.prefillTime(b.estimatedPrefill(now, t.parts)+uncached) + c.BetweenTokens
-	first += slotWait(c.InFlight, b.slots(), decode) + t.self.trip(&b.Backend)
-	c.mean, c.FirstToken = first, first
+	if q.depths != nil && q.depths[b.column] > 0 {
+		c.CachedTokens = min(b.cachedTokens(q.depths[b.column]), q.request.PromptTokens)
+	}
+	fresh := b.reportFresh(q.now)
+	c.InFlight = b.estimatedInFlight(fresh, t.parts)
+	c.BetweenTokens = b.betweenTokens()
+	uncached := max(q.request.PromptTokens-c.CachedTokens, 0)
+	decode := time.Duration(q.answerTokens) * c.BetweenTokens
+	waiting := b.estimatedPrefill(q.now, fresh, t.parts)
+	c.mean = b.speed.prefillTime(waiting+uncached) + c.BetweenTokens + b.trip
+	c.mean += slotWait(c.InFlight, b.speed.slots, decode)
+	c.FirstToken = c.mean
 	if t.parts.health {
-		c.FirstToken = b.observed.adjust(first, spread) + b.stall(now)
+		c.FirstToken = b.observed.adjust(c.mean, q.spread) + b.stall(q.now)
 	}
-	sharers := min(c.InFlight+1, b.slots())
-	c.Cost = b.prefillCost(uncached) + decode.Seconds()/float64(sharers)*b.pricePerSecond()
+	sharers := min(c.InFlight+1, b.speed.slots)
+	c.Cost = b.speed.prefillCost(uncached) + float64(decode)/float64(sharers)*b.speed.price
 }
 
 // slotWait returns the wait for a free slot when all are taken by requests of the given
--- a/serving/request/route/health.go
+++ b/serving/request/route/health.go
@@ -46,12 +46,12 @@
 	// ratio is the mean of observed over estimated time to first token; 0 means none yet.
 	ratio     float64
 	deviation float64
-	at        time.Time
+	at        moment
 	between   time.Duration
 }
 
 // add takes in one time to first token.
-func (o *observed) add(now time.Time, seen, estimated time.Duration) {
+func (o *observed) add(now moment, seen, estimated time.Duration) {
 	ratio := float64(seen+ratioSlack) / float64(estimated+ratioSlack)
 	ratio = min(max(ratio, minRatio), maxRatio)
 	o.decay(now)
@@ -64,11 +64,11 @@
 }
 
 // decay moves the ratio back towards 1 as time passes without observations.
-func (o *observed) decay(now time.Time) {
+func (o *observed) decay(now moment) {
 	if o.ratio == 0 {
 		o.ratio, o.at = 1, now
 	}
-	kept := math.Exp2(-now.Sub(o.at).Seconds() / ratioHalfLife.Seconds())
+	kept := math.Exp2(-now.since(o.at).Seconds() / ratioHalfLife.Seconds())
 	o.ratio = 1 + (o.ratio-1)*kept
 	o.deviation *= kept
 	o.at = now
@@ -98,13 +98,13 @@
 	// distrust is 1 minus the trust, so that the zero value is full trust.
 	distrust float64
 	failures int
-	barred   time.Time
+	barred   moment
 	// progress is the last time the server sent something or was given work while idle.
-	progress time.Time
+	progress moment
 }
 
 // add takes in the result of one attempt.
-func (h *health) add(now time.Time, result Result, random *rand.Rand) {
+func (h *health) add(now moment, result Result, random *rand.Rand) {
 	if result == Cancelled {
 		return
 	}
@@ -119,16 +119,16 @@
 	}
 	bar := min(firstBar<<min(h.failures, 8), longestBar)
 	h.failures++
-	h.barred = now.Add(bar/2 + time.Duration(random.Int64N(int64(bar))))
+	h.barred = now + moment(bar/2) + moment(random.Int64N(int64(bar)))
 }
 
 // admits tells whether a server may take another request: none while it is barred, and
 // afterwards as many as the trust regained allows.
-func (h *health) admits(now time.Time, inFlight, slots int) bool {
+func (h *health) admits(now moment, inFlight, slots int) bool {
 	if h.distrust < 1-barBelow {
 		return true
 	}
-	if now.Before(h.barred) {
+	if now < h.barred {
 		return false
 	}
 	return inFlight < 1+int((1-h.distrust)*float64(slots))
@@ -136,9 +136,9 @@
 
 // stall returns how long the server has been silent with requests in flight, beyond
 // what is usual.
-func (b *backend) stall(now time.Time) time.Duration {
-	if b.inFlight == 0 {
+func (b *backend) stall(now moment) time.Duration {
+	if b.own.inFlight == 0 {
 		return 0
 	}
-	return max(now.Sub(b.health.progress)-stallAfter, 0)
+	return max(now.since(b.health.progress)-stallAfter, 0)
 }
--- a/serving/request/route/knowledge.go
+++ b/serving/request/route/knowledge.go
@@ -17,9 +17,8 @@
 // block has a row of bits, one for each server's column. The least recently used block
 // is forgotten when there are too many.
 type knowledge struct {
-	limit int
-	rows  *simplelru.LRU[prefix.Block, uint32]
-	free  []uint32
+	rows *simplelru.LRU[prefix.Block, uint32]
+	free []uint32
 	// words holds the rows one behind the other, stride words each.
 	words  []uint64
 	stride int
@@ -32,7 +31,7 @@
 
 // newKnowledge returns an empty knowledge of at most limit blocks.
 func newKnowledge(limit int) *knowledge {
-	k := &knowledge{limit: limit, stride: 1}
+	k := &knowledge{stride: 1}
 	rows, err := simplelru.NewLRU(limit, k.release)
 	if err != nil {
 		panic(err) // the limit is a positive constant
@@ -93,9 +92,6 @@
 
 // take gives a new block a row.
 func (k *knowledge) take(block prefix.Block) uint32 {
-	if k.rows.Len() >= k.limit {
-		k.rows.RemoveOldest()
-	}
 	var index uint32
 	if last := len(k.free) - 1; last >= 0 {
 		index = k.free[last]
--- a/serving/request/route/papayaport.go
+++ b/serving/request/route/papayaport.go
@@ -6,12 +6,8 @@
 )
 
 const (
-	// boundedLoad is the load, as a multiple of the mean over all candidates, above which
-	// a prefix's home passes new prompts on to the next server in rendezvous order. The
-	// idea is consistent hashing with bounded loads (Mirrokni et al., 2016).
-	boundedLoad = 1.25
 	// strayShare is the share of a prefix's computing cost that is added when the prefix
-	// is computed away from its home, because later prompts will look for it at home.
+	// is computed away from its home, because later prompts will look for it there.
 	strayShare = 0.5
 	// tieShare is the relative range of cost within which candidates count as equal, so
 	// that entry instances with the same knowledge do not all take the same server.
@@ -31,19 +27,25 @@
 	if p.home && len(request.Blocks) > 0 {
 		home = boundedHome(candidates)
 	}
-	cheapest, lowest := -1, 0.0
-	fastest := 0
+	cheapest, lowestCost := -1, 0.0
+	fastest, lowestTime := -1, 0.0
 	for i := range candidates {
 		c := &candidates[i]
-		if c.FirstToken < candidates[fastest].FirstToken {
-			fastest = i
+		stray := 0.0
+		if home >= 0 && i != home {
+			stray = strayShare * float64(request.PromptTokens-c.CachedTokens)
 		}
-		if p.price && !meets(c, request) {
+		jitter := 1 + tieShare*random.Float64()
+		time := jitter * (float64(c.FirstToken) + stray*c.backend.speed.prefill)
+		if fastest < 0 || time < lowestTime {
+			fastest, lowestTime = i, time
+		}
+		if !p.price || !meets(c, request) {
 			continue
 		}
-		cost := p.score(c, request, i == home) * (1 + tieShare*random.Float64())
-		if cheapest < 0 || cost < lowest {
-			cheapest, lowest = i, cost
+		cost := jitter * (c.Cost + stray*c.backend.speed.prefill*c.backend.speed.price)
+		if cheapest < 0 || cost < lowestCost {
+			cheapest, lowestCost = i, cost
 		}
 	}
 	if cheapest < 0 {
@@ -52,20 +54,6 @@
 	return cheapest
 }
 
-// score returns what the policy minimizes for one candidate.
-func (p papayaport) score(c *Candidate, request *Request, home bool) float64 {
-	score := c.Cost
-	stray := c.backend.prefillCost(request.PromptTokens - c.CachedTokens)
-	if !p.price {
-		score = c.FirstToken.Seconds()
-		stray = c.backend.prefillTime(request.PromptTokens - c.CachedTokens).Seconds()
-	}
-	if p.home && !home {
-		score += strayShare * stray
-	}
-	return score
-}
-
 // meets tells whether the candidate's estimates keep the request's latency target.
 func meets(c *Candidate, request *Request) bool {
 	target := request.Target
@@ -80,29 +68,26 @@
 	return float64(d) / float64(time.Millisecond)
 }
 
-// boundedHome returns the first candidate in rendezvous order whose load is within the
-// bound, or the home itself when all are above.
+// boundedHome returns the first candidate in rendezvous order that has a free slot, or
+// the home itself when none has. The load of a hot prefix so goes on to the same next
+// servers at all entry instances. The idea is consistent hashing with bounded loads
+// (Mirrokni et al., 2016).
 func boundedHome(candidates []Candidate) int {
-	total := 0
-	for i := range candidates {
-		total += candidates[i].InFlight
-	}
-	limit := boundedLoad * float64(total+1) / float64(len(candidates))
-	home, within := 0, -1
+	home, free := 0, -1
 	for i := range candidates {
 		c := &candidates[i]
 		if c.Rank > candidates[home].Rank {
 			home = i
 		}
-		if float64(c.InFlight) > limit {
+		if c.InFlight >= c.backend.speed.slots {
 			continue
 		}
-		if within < 0 || c.Rank > candidates[within].Rank {
-			within = i
+		if free < 0 || c.Rank > candidates[free].Rank {
+			free = i
 		}
 	}
-	if within < 0 {
+	if free < 0 {
 		return home
 	}
-	return within
+	return free
 }
--- a/serving/request/route/policy.go
+++ b/serving/request/route/policy.go
@@ -27,8 +27,6 @@
 	backend *backend
 	// InFlight is the estimated number of requests at the server, waiting ones included.
 	InFlight int
-	// OwnInFlight is the number of requests that this entry instance has at the server.
-	OwnInFlight int
 	// CachedTokens is the number of prompt tokens expected in the server's cache.
 	CachedTokens int
 	// FirstToken is the estimated time to the first token at the wanted quantile.
--- a/serving/request/route/table.go
+++ b/serving/request/route/table.go
@@ -15,6 +15,9 @@
 // a lagging instance list doesn't bring the server back.
 const leavingMemory = 10 * time.Minute
 
+// unlistedMemory is how long a server that the instance list lost keeps its history.
+const unlistedMemory = time.Minute
+
 // leavingMark tells that every incarnation up to Incarnation is leaving.
 type leavingMark struct {
 	incarnation uint64
@@ -33,7 +36,8 @@
 	leaving  map[string]leavingMark
 	attempts map[string]*attempt
 	spare    []*attempt
-	// candidates and barred are reused by Choose.
+	// request, candidates and barred are reused by Choose.
+	request    Request
 	candidates []Candidate
 	barred     []Candidate
 }
@@ -57,8 +61,9 @@
 }
 
 // SetBackends replaces the set of backend servers. A new incarnation under a known id
-// starts without history; an older one than known is ignored. Servers that are missing
-// get no new work, and attempts on them go on.
+// starts without history; an older one than known is ignored, because the list lags. Servers
+// that are missing get no new work, attempts on them go on, and their history is kept
+// for a while.
 func (t *Table) SetBackends(now time.Time, list []Backend) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -69,8 +74,7 @@
 	}
 	for id, b := range t.backends {
 		if !listed[id] {
-			b.group.remove(b)
-			delete(t.backends, id)
+			t.unlist(now, b)
 		}
 	}
 	for id, mark := range t.leaving {
@@ -80,20 +84,36 @@
 	}
 }
 
+// unlist closes a server that the instance list no longer shows, and forgets it when it
+// has been missing for a while and has no attempts left.
+func (t *Table) unlist(now time.Time, b *backend) {
+	if !b.unlisted {
+		b.unlisted, b.unlistedAt = true, now
+	}
+	if b.own.inFlight == 0 && now.Sub(b.unlistedAt) > unlistedMemory {
+		b.group.remove(b)
+		delete(t.backends, b.ID)
+	}
+}
+
 // set adds or updates one backend server.
 func (t *Table) set(b Backend) {
 	known := t.backends[b.ID]
 	if known != nil && b.Incarnation < known.Incarnation {
+		known.unlisted = false
 		return
 	}
 	if known != nil && b.Incarnation == known.Incarnation && b.Service == known.Service {
-		known.Backend = b
+		known.Backend, known.unlisted = b, false
+		known.trip = t.self.trip(&b)
+		known.speed = newSpeed(&known.Backend, &known.load)
 		return
 	}
 	if known != nil {
 		known.group.remove(known)
 	}
-	added := &backend{Backend: b, hash: hashID(b.ID), nextEvent: 1}
+	added := newBackend(b)
+	added.trip = t.self.trip(&b)
 	if mark, ok := t.leaving[b.ID]; ok && b.Incarnation <= mark.incarnation {
 		added.leaving, added.deadline = true, mark.deadline
 	}
@@ -150,12 +170,11 @@
 	if b == nil || (load.Incarnation != 0 && load.Incarnation != b.Incarnation) {
 		return
 	}
-	moment := now.Add(-time.Duration(load.AgeMS) * time.Millisecond)
-	if b.reported && moment.Before(b.reportedAt) {
+	described := at(now.Add(-time.Duration(load.AgeMS) * time.Millisecond))
+	if b.reported && described < b.reportedAt {
 		return
 	}
-	b.load, b.reportedAt, b.reported = load, moment, true
-	b.unsettled.settle(moment)
+	b.report(described, load)
 }
 
 // Peers takes in the work that the other entry instances have at the backend servers.
@@ -163,7 +182,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for id, b := range t.backends {
-		b.peers, b.peersAt = totals.ByBackend[id], now
+		b.setPeers(at(now), totals.ByBackend[id])
 	}
 }
 
@@ -179,7 +198,7 @@
 	return b.nextEvent - 1, b.stale
 }
 
-// CacheEvents takes in a server's cache events and tells whether some are missing, so
+// CacheEvents takes in a server's cache events behind the cursor and tells whether some are missing, so
 // that a snapshot is needed. Until it comes, expected hits on the server count less.
 func (t *Table) CacheEvents(_ time.Time, id string, events engine.CacheEvents) (needSnapshot bool) {
 	t.mu.Lock()
@@ -195,9 +214,9 @@
 	for _, event := range events.Events {
 		b.applyCacheEvent(event)
 	}
-	if events.Next > b.nextEvent {
+	if events.Next >= b.nextEvent {
 		b.stale = true
-		b.nextEvent = events.Next
+		b.nextEvent = events.Next + 1
 	}
 	return b.stale
 }
@@ -210,7 +229,7 @@
 		known.store(prefix.Block(block), b.column)
 	}
 	b.stale = false
-	b.nextEvent = max(events.Next, 1)
+	b.nextEvent = events.Next + 1
 }
 
 // applyCacheEvent takes in one event; doubled ones are skipped.
@@ -233,10 +252,10 @@
 	defer t.mu.Unlock()
 	use := make([]membership.BackendUse, 0, len(t.backends))
 	for id, b := range t.backends {
-		if b.inFlight == 0 {
+		if b.own.inFlight == 0 {
 			continue
 		}
-		use = append(use, membership.BackendUse{Backend: id, InFlight: b.inFlight, PrefillTokens: b.prefillTokens})
+		use = append(use, membership.BackendUse{Backend: id, InFlight: b.own.inFlight, PrefillTokens: b.own.prefill})
 	}
 	sort.Slice(use, func(i, j int) bool { return use[i].Backend < use[j].Backend })
 	return use
