Limit faults of a link to callers of one source

Cutting one failure domain from the others needs relays that tell callers apart, since several domains reach an entry through the same one. The source IP is what a relay of connections can see. TestFaultsFromOneSourceSpareOthers checks it.

--- a/standin/link/link.go
+++ b/standin/link/link.go
@@ -61,7 +61,10 @@
 // Faults sets the mode of relays. It is the body of POST /standin/faults.
 type Faults struct {
 	// Relay is a name or a pattern such as "store-*".
-	Relay   string `json:"relay"`
+	Relay string `json:"relay"`
+	// From limits the faults to callers whose IP matches a pattern such as "127.0.1.*";
+	// empty for all. Others pass.
+	From    string `json:"from,omitempty"`
 	Mode    Mode   `json:"mode"`
 	DelayMS int64  `json:"delay_ms"`
 }
@@ -77,6 +80,7 @@
 // relay is one relay with its connections.
 type relay struct {
 	Relay
+	from    string
 	mode    Mode
 	delay   time.Duration
 	conns   map[*pair]bool
@@ -118,7 +122,7 @@
 			continue
 		}
 		matched = true
-		r.set(in.Mode, time.Duration(in.DelayMS)*time.Millisecond)
+		r.set(in)
 	}
 	if !matched {
 		return errors.Errorf("no relay matches %q", in.Relay)
@@ -127,23 +131,39 @@
 }
 
 // set changes the mode. Silence is a property of the connections there are.
-func (r *relay) set(mode Mode, delay time.Duration) {
-	r.mode, r.delay = mode, delay
-	if mode == Silent {
-		r.mode = Pass
-		for p := range r.conns {
+func (r *relay) set(in Faults) {
+	r.mode, r.from = in.Mode, in.From
+	r.delay = time.Duration(in.DelayMS) * time.Millisecond
+	for p := range r.conns {
+		switch r.modeFor(p.caller) {
+		case Silent:
 			p.silent = true
-		}
-	}
-	if mode == Cut {
-		for p := range r.conns {
+		case Cut:
 			p.close()
 		}
 	}
+	if in.Mode == Silent {
+		r.mode = Pass
+	}
 	close(r.changed)
 	r.changed = make(chan struct{})
 }
 
+// modeFor returns the mode for a caller.
+func (r *relay) modeFor(caller net.Conn) Mode {
+	if r.from == "" {
+		return r.mode
+	}
+	host, _, err := net.SplitHostPort(caller.RemoteAddr().String())
+	if err != nil {
+		return Pass
+	}
+	if ok, err := path.Match(r.from, host); err != nil || !ok {
+		return Pass
+	}
+	return r.mode
+}
+
 // Add opens a relay that lives until ctx ends.
 func (l *Link) Add(ctx context.Context, in Relay) error {
 	listener, err := net.Listen("tcp", in.Listen)
--- a/standin/link/link_test.go
+++ b/standin/link/link_test.go
@@ -69,10 +69,7 @@
 			ctx, cancel := context.WithCancel(context.Background())
 			defer cancel()
 			l := New()
-			listener, err := net.Listen("tcp", "127.0.0.1:0")
-			require.NoError(t, err)
-			address := listener.Addr().String()
-			require.NoError(t, listener.Close())
+			address := free(t)
 			require.NoError(t, l.Add(ctx, Relay{Name: "store-a", Listen: address, Target: echo(t)}))
 			conn := dial(t, address)
 			require.True(t, ask(conn, long))
@@ -110,6 +107,40 @@
 	return conn
 }
 
+func TestFaultsFromOneSourceSpareOthers(t *testing.T) {
+	for _, mode := range []Mode{Cut, Freeze, Silent, NoAnswers} {
+		t.Run(string(mode), func(t *testing.T) {
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			l, address := New(), free(t)
+			require.NoError(t, l.Add(ctx, Relay{Name: "peers-1", Listen: address, Target: echo(t)}))
+			hit, spared := dialFrom(t, "127.0.3.1", address), dialFrom(t, "127.0.4.1", address)
+			require.True(t, ask(hit, 5*time.Second))
+			require.True(t, ask(spared, 5*time.Second))
+			require.NoError(t, l.Set(Faults{Relay: "peers-*", From: "127.0.3.*", Mode: mode}))
+			require.False(t, ask(hit, 150*time.Millisecond))
+			require.True(t, ask(spared, 5*time.Second))
+		})
+	}
+}
+
+func free(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+func dialFrom(t *testing.T, ip, address string) net.Conn {
+	t.Helper()
+	dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(ip)}}
+	conn, err := dialer.Dial("tcp", address)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	return conn
+}
+
 func TestSetRefusesWhatItDoesNotKnow(t *testing.T) {
 	l := New()
 	require.ErrorContains(t, l.Set(Faults{Relay: "*", Mode: "explode"}), "explode")
--- a/standin/link/pair.go
+++ b/standin/link/pair.go
@@ -32,7 +32,7 @@
 // pass joins a caller with the relay's target.
 func (l *Link) pass(ctx context.Context, r *relay, caller net.Conn) {
 	defer caller.Close()
-	if l.isCut(r) {
+	if l.isCut(r, caller) {
 		return
 	}
 	target, err := net.DialTimeout("tcp", r.Target, dialTimeout)
@@ -53,17 +53,17 @@
 	_ = group.Wait()
 }
 
-func (l *Link) isCut(r *relay) bool {
+func (l *Link) isCut(r *relay, caller net.Conn) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return r.mode == Cut
+	return r.modeFor(caller) == Cut
 }
 
 // add notes a connection unless the relay has been cut.
 func (l *Link) add(r *relay, p *pair) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if r.mode == Cut {
+	if r.modeFor(p.caller) == Cut {
 		return false
 	}
 	r.conns[p] = true
@@ -108,7 +108,7 @@
 func (l *Link) gate(ctx context.Context, r *relay, p *pair, dropped Mode) bool {
 	for {
 		l.mu.Lock()
-		mode, delay, silent, changed := r.mode, r.delay, p.silent, r.changed
+		mode, delay, silent, changed := r.modeFor(p.caller), r.delay, p.silent, r.changed
 		l.mu.Unlock()
 		switch {
 		case silent, mode == dropped:
