Add the load tool and the comparison of routing policies

The load is open: arrivals, texts and accounts follow from the seed, and every answer is compared with the undisturbed one. The comparison runs each policy on real processes with the same engines, arrivals and seeds; tokens recomputed are those computed beyond what one engine with an unlimited cache computes for the same answers, so that work lost with an engine counts as well.

--- a/standin/command/command.go
+++ b/standin/command/command.go
@@ -11,6 +11,9 @@
 	"syscall"
 
 	"github.com/alecthomas/kong"
+
+	"papayaport.dev/standin/load"
+	"papayaport.dev/standin/measure"
 )
 
 // commands is the table of all commands.
@@ -23,6 +26,8 @@
 	Weights  weightsCommand  `cmd:"" help:"Run a weight store."`
 	Balancer balancerCommand `cmd:"" help:"Run a balancer over entry instances."`
 	Link     linkCommand     `cmd:"" help:"Run a link of faulty relays."`
+	Load     load.Command    `cmd:"" help:"Send one shape of requests and report times and outcomes."`
+	Measure  measure.Command `cmd:"" help:"Compare routing policies on the same engines, arrivals and seeds."`
 }
 
 // Main parses the command line and runs its command.
--- /dev/null
+++ b/standin/load/command.go
@@ -0,0 +1,50 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"papayaport.dev/standin/tenants"
+)
+
+// Command is the load command of the stand-ins.
+type Command struct {
+	URL      string        `default:"http://127.0.0.1:8000" help:"Base URL of a balancer or an entry instance."`
+	Shape    string        `default:"filings" enum:"filings,chats" help:"Shape of the requests: filings or chats."`
+	Rate     float64       `default:"5" help:"Mean number of requests a second."`
+	Duration time.Duration `default:"10s" help:"Time in which requests arrive."`
+	Seed     uint64        `default:"1" help:"Seed of arrivals and texts."`
+	RunID    string        `name:"run-id" default:"" help:"Part of the request ids; empty takes the clock."`
+}
+
+// Run sends the load and prints a report as JSON.
+func (c *Command) Run(ctx context.Context) error {
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	shape, err := Get(c.Shape)
+	if err != nil {
+		return err
+	}
+	tenant, err := tenants.Get(shape.Tenant())
+	if err != nil {
+		return err
+	}
+	if c.Rate <= 0 || c.Duration <= 0 {
+		return errors.Errorf("rate is %g and duration %s, both must be positive", c.Rate, c.Duration)
+	}
+	if c.RunID == "" {
+		c.RunID = time.Now().Format("150405.000")
+	}
+	arrivals := shape.Arrivals(Plan{Tenant: tenant, Rate: c.Rate, Duration: c.Duration, Seed: c.Seed})
+	outcomes := Run(ctx, Config{URL: c.URL, Tenant: tenant, RunID: c.RunID}, arrivals)
+	target := tenant.Services[tenant.Model].LatencyTarget
+	encoder := json.NewEncoder(os.Stdout)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(Summarize(outcomes, target.FirstTokenMS, target.BetweenTokensMS))
+}
--- /dev/null
+++ b/standin/measure/page.go
@@ -0,0 +1,115 @@
+package measure
+
+import (
+	"fmt"
+	"io"
+	"runtime"
+	"strings"
+)
+
+// column is one figure of the tables.
+type column struct {
+	title  string
+	format string
+	value  func(Result) float64
+}
+
+// columns is the table of all figures.
+var columns = []column{
+	{"cost per request, $ per million", "%.1f", Result.microdollars},
+	{"met, %", "%.1f", Result.met},
+	{"recomputed tokens per 1,000", "%.0f", Result.recomputed},
+	{"first token p95, ms", "%.0f", func(r Result) float64 { return r.FirstToken.P95 }},
+	{"between tokens p95, ms", "%.1f", func(r Result) float64 { return r.BetweenTokens.P95 }},
+	{"attempts per request", "%.3f", Result.attempts},
+}
+
+// write writes the page: how it was measured, and a table for each shape and weather.
+func write(w io.Writer, o Options, results []Result) error {
+	var b strings.Builder
+	o.writeHow(&b)
+	for _, shape := range o.Shapes {
+		for _, wave := range o.Waves {
+			o.writeTable(&b, shape, wave, results)
+		}
+	}
+	writeFailures(&b, results)
+	_, err := io.WriteString(w, b.String())
+	return err
+}
+
+func (o Options) writeHow(b *strings.Builder) {
+	cfg := engineConfig()
+	fmt.Fprintf(b, "Command: `%s`\n\n", o.Command)
+	fmt.Fprintf(b, "Each run: %d entry instances, 4 failure domains with %d engines each, requests arriving for %s ", o.Entries, o.EnginesPerDomain, o.Duration)
+	fmt.Fprintf(b, "(mean rates a second: %v), seeds %v. An engine has %d slots, computes %.0f prompt tokens a second, ", o.Rates, o.Seeds, cfg.Slots, cfg.PrefillPerSecond)
+	fmt.Fprintf(b, "takes %.0f ms a step, caches %d tokens and reports load and cache events %d ms late. ", cfg.DecodeMS, cfg.CacheTokens, cfg.LoadLagMS)
+	fmt.Fprintf(b, "A wave reclaims all engines of the cheapest failure domain with %s of notice after %.0f%% of the time; starts are refused throughout. ", waveNotice, 100*waveAfter)
+	fmt.Fprintf(b, "Machine: %d cores, shared with other work.\n\n", runtime.NumCPU())
+}
+
+// writeTable writes one row for each policy: the mean over the seeds, and the smallest
+// and largest value.
+func (o Options) writeTable(b *strings.Builder, shape string, wave bool, results []Result) {
+	fmt.Fprintf(b, "### %s, %s\n\n| policy |", shape, weather(wave))
+	for _, c := range columns {
+		fmt.Fprintf(b, " %s |", c.title)
+	}
+	fmt.Fprintf(b, "\n|---|%s\n", strings.Repeat("---:|", len(columns)))
+	for _, policy := range o.Policies {
+		fmt.Fprintf(b, "| %s |", policy)
+		for _, c := range columns {
+			fmt.Fprintf(b, " %s |", c.spread(of(results, policy, shape, wave)))
+		}
+		fmt.Fprintln(b)
+	}
+	fmt.Fprintln(b)
+}
+
+// of returns the results of one policy's runs that gave figures.
+func of(results []Result, policy, shape string, wave bool) []Result {
+	var found []Result
+	for _, r := range results {
+		if r.Err == nil && r.Policy == policy && r.Shape == shape && r.Wave == wave {
+			found = append(found, r)
+		}
+	}
+	return found
+}
+
+// spread formats the mean of a figure with its smallest and largest value.
+func (c column) spread(results []Result) string {
+	if len(results) == 0 {
+		return "not run"
+	}
+	sum, low, high := 0.0, c.value(results[0]), c.value(results[0])
+	for _, r := range results {
+		v := c.value(r)
+		sum, low, high = sum+v, min(low, v), max(high, v)
+	}
+	mean := fmt.Sprintf(c.format, sum/float64(len(results)))
+	if len(results) == 1 {
+		return mean
+	}
+	return fmt.Sprintf("%s ("+c.format+" to "+c.format+")", mean, low, high)
+}
+
+// writeFailures lists requests that were not answered whole and right, and failed runs.
+func writeFailures(b *strings.Builder, results []Result) {
+	var lines []string
+	for _, r := range results {
+		name := fmt.Sprintf("%s, %s, %s, seed %d", r.Policy, r.Shape, weather(r.Wave), r.Seed)
+		switch {
+		case r.Err != nil:
+			lines = append(lines, fmt.Sprintf("- %s: no figures: %v", name, r.Err))
+		case r.Whole < r.Requests:
+			line := fmt.Sprintf("- %s: %d of %d whole and right; %d wrong, %d broken, refused %v", name, r.Whole, r.Requests, r.Wrong, r.Broken, r.Refused)
+			lines = append(lines, strings.TrimSpace(line+" "+r.FirstBroken))
+		}
+	}
+	if len(lines) == 0 {
+		fmt.Fprint(b, "Every request of every run was answered whole and right.\n")
+		return
+	}
+	fmt.Fprintf(b, "Requests that were not answered whole and right:\n\n%s\n", strings.Join(lines, "\n"))
+}
