--- /dev/null
+++ b/serving/connection/engine/client.go
@@ -0,0 +1,280 @@
+package engine
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Limits of what an engine may send.
+const (
+	maxEventBytes  = 256 << 10
+	maxAnswerBytes = 4 << 20
+)
+
+// Errors of a stream.
+var (
+	// ErrTruncated means that a stream ended before its final marker.
+	ErrTruncated = errors.New("stream ended before its final marker")
+	// ErrNonsense means that an engine sent what is not an answer.
+	ErrNonsense = errors.New("engine sent an invalid answer")
+	// ErrSilent means that a stream made no progress before its deadline.
+	ErrSilent = errors.New("engine made no progress")
+	// ErrUnreachable means that no connection to the engine opened.
+	ErrUnreachable = errors.New("engine can't be reached")
+)
+
+// RefusedError is an answer of an engine other than 200.
+type RefusedError struct {
+	Status int
+	Detail string
+}
+
+// Error implements error.
+func (e *RefusedError) Error() string {
+	return "engine answered " + strconv.Itoa(e.Status) + ": " + e.Detail
+}
+
+// Client speaks with one engine.
+type Client struct {
+	http    *http.Client
+	address string
+}
+
+// New returns a client for the engine at a base URL such as "http://10.0.0.1:8000".
+func New(httpClient *http.Client, address string) *Client {
+	return &Client{http: httpClient, address: address}
+}
+
+// Stream is one attempt's stream of chunks.
+type Stream struct {
+	body   io.ReadCloser
+	reader *bufio.Reader
+	cancel context.CancelFunc
+	// progress stops the stream when nothing arrives in time.
+	progress *time.Timer
+	silent   chan struct{}
+	once     sync.Once
+	between  time.Duration
+	// Incarnation is the incarnation that the engine said it is, 0 when it said none.
+	Incarnation uint64
+}
+
+// Progress is how long an engine may stay silent.
+type Progress struct {
+	First   time.Duration
+	Between time.Duration
+}
+
+// Complete asks for an answer as a stream. The stream ends itself with ErrSilent when
+// the engine makes no progress in time.
+func (c *Client) Complete(ctx context.Context, completion Completion, progress Progress) (*Stream, error) {
+	completion.Stream = true
+	body, err := json.Marshal(completion)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode completion")
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	s := &Stream{cancel: cancel, silent: make(chan struct{}), between: progress.Between}
+	s.progress = time.AfterFunc(progress.First, s.giveUp)
+	response, err := c.post(ctx, CompletionsPath, completion.Attempt, body)
+	if err != nil {
+		s.stop()
+		return nil, s.explain(err)
+	}
+	if response.StatusCode != http.StatusOK {
+		defer s.stop()
+		return nil, refused(response)
+	}
+	s.Incarnation, _ = strconv.ParseUint(response.Header.Get(IncarnationHeader), 10, 64)
+	s.body = response.Body
+	s.reader = bufio.NewReaderSize(response.Body, 4<<10)
+	return s, nil
+}
+
+func (c *Client) post(ctx context.Context, path, attempt string, body []byte) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, c.address+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, errors.Wrap(err, "make request")
+	}
+	request.Header.Set("Content-Type", "application/json")
+	if attempt != "" {
+		request.Header.Set(AttemptHeader, attempt)
+	}
+	response, err := c.http.Do(request)
+	return response, errors.Wrap(err, "send to engine")
+}
+
+func refused(response *http.Response) error {
+	defer response.Body.Close()
+	detail, _ := io.ReadAll(io.LimitReader(response.Body, 512))
+	return &RefusedError{Status: response.StatusCode, Detail: string(bytes.TrimSpace(detail))}
+}
+
+func (s *Stream) giveUp() {
+	s.once.Do(func() { close(s.silent) })
+	s.cancel()
+}
+
+func (s *Stream) stop() {
+	s.progress.Stop()
+	s.cancel()
+}
+
+// Close ends the attempt. The engine sees the connection close and cancels it.
+func (s *Stream) Close() {
+	s.stop()
+	_ = s.body.Close()
+}
+
+func (s *Stream) explain(err error) error {
+	select {
+	case <-s.silent:
+		return ErrSilent
+	default:
+		return err
+	}
+}
+
+// Next returns the next chunk. io.EOF comes only after the final marker "[DONE]".
+func (s *Stream) Next() (Chunk, error) {
+	for {
+		data, err := s.event()
+		if err != nil {
+			return Chunk{}, err
+		}
+		if data == nil {
+			continue
+		}
+		s.progress.Reset(s.between)
+		return decode(data)
+	}
+}
+
+func (s *Stream) event() ([]byte, error) {
+	line, err := s.reader.ReadSlice('\n')
+	if errors.Is(err, bufio.ErrBufferFull) {
+		line, err = s.longLine(line)
+	}
+	if errors.Is(err, ErrNonsense) {
+		return nil, err
+	}
+	if err != nil {
+		return nil, s.explain(errors.Wrap(ErrTruncated, err.Error()))
+	}
+	data, found := bytes.CutPrefix(line, []byte("data:"))
+	if !found {
+		return nil, nil
+	}
+	return bytes.TrimSpace(data), nil
+}
+
+func (s *Stream) longLine(start []byte) ([]byte, error) {
+	line := append([]byte(nil), start...)
+	for {
+		more, err := s.reader.ReadSlice('\n')
+		line = append(line, more...)
+		if len(line) > maxEventBytes {
+			return nil, errors.Wrap(ErrNonsense, "event over the limit")
+		}
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return line, err
+		}
+	}
+}
+
+func decode(data []byte) (Chunk, error) {
+	if string(data) == "[DONE]" {
+		return Chunk{}, io.EOF
+	}
+	var chunk Chunk
+	if err := json.Unmarshal(data, &chunk); err != nil {
+		return Chunk{}, errors.Wrap(ErrNonsense, err.Error())
+	}
+	if len(chunk.Choices) != 1 {
+		return Chunk{}, errors.Wrap(ErrNonsense, "chunk without a choice")
+	}
+	return chunk, nil
+}
+
+// Load fetches the engine's report on itself.
+func (c *Client) Load(ctx context.Context) (Load, error) {
+	var load Load
+	err := c.get(ctx, LoadPath, &load)
+	return load, err
+}
+
+// Events fetches cache events after a sequence number, or all cached blocks with snapshot.
+func (c *Client) Events(ctx context.Context, after uint64, snapshot bool) (CacheEvents, error) {
+	var events CacheEvents
+	path := EventsPath + "?after=" + strconv.FormatUint(after, 10)
+	if snapshot {
+		path += "&snapshot=true"
+	}
+	err := c.get(ctx, path, &events)
+	return events, err
+}
+
+// Export makes the KV cache of prefixes ready for another engine.
+func (c *Client) Export(ctx context.Context, export Export) (Exported, error) {
+	var exported Exported
+	err := c.call(ctx, ExportPath, export, &exported)
+	return exported, err
+}
+
+// Import makes the engine fetch an export from another one.
+func (c *Client) Import(ctx context.Context, order Import) (Imported, error) {
+	var imported Imported
+	err := c.call(ctx, ImportPath, order, &imported)
+	return imported, err
+}
+
+// Order changes what the engine serves.
+func (c *Client) Order(ctx context.Context, order Order) error {
+	return c.call(ctx, OrdersPath, order, nil)
+}
+
+func (c *Client) get(ctx context.Context, path string, answer any) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.address+path, nil)
+	if err != nil {
+		return errors.Wrap(err, "make request")
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return errors.Wrap(err, "ask engine")
+	}
+	return read(response, answer)
+}
+
+func (c *Client) call(ctx context.Context, path string, question, answer any) error {
+	body, err := json.Marshal(question)
+	if err != nil {
+		return errors.Wrap(err, "encode")
+	}
+	response, err := c.post(ctx, path, "", body)
+	if err != nil {
+		return err
+	}
+	return read(response, answer)
+}
+
+func read(response *http.Response, answer any) error {
+	if response.StatusCode >= http.StatusMultipleChoices {
+		return refused(response)
+	}
+	defer response.Body.Close()
+	if answer == nil {
+		_, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxAnswerBytes))
+		return errors.Wrap(err, "read answer")
+	}
+	err := json.NewDecoder(io.LimitReader(response.Body, maxAnswerBytes)).Decode(answer)
+	return errors.Wrap(err, "decode answer")
+}
--- /dev/null
+++ b/serving/process/settings/settings.go
@@ -0,0 +1,279 @@
+// Package settings reads the daemon's settings: one JSON file, checked as a whole
+// before anything starts.
+//
+// # Usage
+//
+//	set, faults := settings.Parse("entry.json", data)
+//	if len(faults) > 0 {
+//		// every fault names file, field, value and what is allowed
+//	}
+package settings
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Settings is everything that a daemon learns at its start.
+type Settings struct {
+	// Instance is the id of this entry instance in the platform's instance list.
+	Instance string `json:"instance"`
+	// Incarnation separates this process from earlier ones; 0 takes the start time in milliseconds.
+	Incarnation   uint64 `json:"incarnation,omitempty"`
+	Region        string `json:"region"`
+	FailureDomain string `json:"failure_domain"`
+
+	Callers        Listener `json:"callers"`
+	Peers          Listener `json:"peers"`
+	Administration Listener `json:"administration"`
+	TLS            TLS      `json:"tls"`
+
+	Store     Store    `json:"store"`
+	Instances Endpoint `json:"instances"`
+	Cloud     Endpoint `json:"cloud"`
+	Weights   Endpoint `json:"weights"`
+
+	// SeedPeers are peer addresses to ask first.
+	SeedPeers []string `json:"seed_peers,omitempty"`
+	// OperatorTokensFile holds lines "NAME SHA256HEX".
+	OperatorTokensFile string `json:"operator_tokens_file,omitempty"`
+
+	Limits  Limits  `json:"limits"`
+	Routing Routing `json:"routing"`
+	Stop    Stop    `json:"stop"`
+	Log     Log     `json:"log"`
+}
+
+// Listener is the address of one listener.
+type Listener struct {
+	// Listen is "IP:PORT".
+	Listen string `json:"listen"`
+}
+
+// TLS names the files for TLS on all three listeners and towards peers. Empty means plain TCP.
+type TLS struct {
+	CertificateFile string `json:"certificate_file,omitempty"`
+	KeyFile         string `json:"key_file,omitempty"`
+	// AuthorityFile holds the certificates that peers must be signed by.
+	AuthorityFile string `json:"authority_file,omitempty"`
+}
+
+// Enabled tells whether the listeners use TLS.
+func (t TLS) Enabled() bool { return t.CertificateFile != "" }
+
+// Store is the platform's key-value service.
+type Store struct {
+	Address string `json:"address"`
+	// Prefix stands before every key.
+	Prefix string `json:"prefix,omitempty"`
+}
+
+// Endpoint is the base URL of one of the platform's services.
+type Endpoint struct {
+	Address string `json:"address,omitempty"`
+}
+
+// Limits bounds what callers may ask of one entry instance.
+type Limits struct {
+	HeaderBytes   int   `json:"header_bytes,omitempty"`
+	BodyBytes     int64 `json:"body_bytes,omitempty"`
+	AnswerBytes   int64 `json:"answer_bytes,omitempty"`
+	BodyTimeoutMS int64 `json:"body_timeout_ms,omitempty"`
+	Connections   int   `json:"connections,omitempty"`
+}
+
+// BodyTimeout returns the longest time that a caller may take to send a body.
+func (l Limits) BodyTimeout() time.Duration {
+	return time.Duration(l.BodyTimeoutMS) * time.Millisecond
+}
+
+// Routing selects how backend servers are chosen.
+type Routing struct {
+	Policy string `json:"policy,omitempty"`
+}
+
+// Stop bounds a planned stop.
+type Stop struct {
+	// GraceMS is the time for requests in flight before they are handed over, in milliseconds.
+	GraceMS int64 `json:"grace_ms,omitempty"`
+}
+
+// Grace returns the time for requests in flight before they are handed over.
+func (s Stop) Grace() time.Duration { return time.Duration(s.GraceMS) * time.Millisecond }
+
+// Log selects what is logged and how.
+type Log struct {
+	Level  string `json:"level,omitempty"`
+	Format string `json:"format,omitempty"`
+}
+
+// Fault is one impossible value in a settings file.
+type Fault struct {
+	File    string `json:"file"`
+	Field   string `json:"field"`
+	Value   string `json:"value"`
+	Allowed string `json:"allowed"`
+}
+
+// Error implements error.
+func (f Fault) Error() string {
+	return fmt.Sprintf("%s: %s is %s; allowed: %s", f.File, f.Field, f.Value, f.Allowed)
+}
+
+// Defaults returns the settings that hold when a file names none.
+func Defaults() Settings {
+	return Settings{
+		Limits: Limits{
+			HeaderBytes:   16 << 10,
+			BodyBytes:     1 << 20,
+			AnswerBytes:   8 << 20,
+			BodyTimeoutMS: 10_000,
+			Connections:   4_000,
+		},
+		Routing: Routing{Policy: "papayaport"},
+		Stop:    Stop{GraceMS: 5_000},
+		Log:     Log{Level: "info", Format: "text"},
+	}
+}
+
+// Parse reads a settings file over the defaults and returns all its faults.
+func Parse(file string, data []byte) (Settings, []Fault) {
+	set := Defaults()
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&set); err != nil {
+		return set, []Fault{{file, fieldOf(err), err.Error(), "a JSON object with the documented fields"}}
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return set, []Fault{{file, "(end)", "more data", "one JSON object"}}
+	}
+	c := checker{file: file}
+	c.check(&set)
+	return set, c.faults
+}
+
+func fieldOf(err error) string {
+	var wrongType *json.UnmarshalTypeError
+	if errors.As(err, &wrongType) {
+		return wrongType.Field
+	}
+	if _, field, found := strings.Cut(err.Error(), "unknown field "); found {
+		return strings.Trim(field, `"`)
+	}
+	return "(syntax)"
+}
+
+type checker struct {
+	file   string
+	faults []Fault
+}
+
+func (c *checker) add(field string, value any, allowed string) {
+	c.faults = append(c.faults, Fault{c.file, field, fmt.Sprintf("%q", fmt.Sprint(value)), allowed})
+}
+
+func (c *checker) check(set *Settings) {
+	c.name("instance", set.Instance)
+	c.name("region", set.Region)
+	c.name("failure_domain", set.FailureDomain)
+	c.listen("callers.listen", set.Callers.Listen)
+	c.listen("peers.listen", set.Peers.Listen)
+	c.listen("administration.listen", set.Administration.Listen)
+	c.distinct(set)
+	c.url("store.address", set.Store.Address, true)
+	c.url("instances.address", set.Instances.Address, true)
+	c.url("cloud.address", set.Cloud.Address, false)
+	c.url("weights.address", set.Weights.Address, false)
+	for i, peer := range set.SeedPeers {
+		c.listen(fmt.Sprintf("seed_peers[%d]", i), peer)
+	}
+	c.tls(set.TLS)
+	c.limits(set.Limits)
+	c.between("stop.grace_ms", set.Stop.GraceMS, 0, 600_000)
+	c.oneOf("log.level", set.Log.Level, "debug", "info", "warning", "error")
+	c.oneOf("log.format", set.Log.Format, "text", "json")
+}
+
+const nameAllowed = "1 to 64 letters, digits, '-', '_' or '.'"
+
+func (c *checker) name(field, value string) {
+	if value == "" || len(value) > 64 || strings.Trim(value, nameLetters) != "" {
+		c.add(field, value, nameAllowed)
+	}
+}
+
+const nameLetters = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_."
+
+func (c *checker) listen(field, value string) {
+	host, _, err := net.SplitHostPort(value)
+	if err != nil || net.ParseIP(host) == nil {
+		c.add(field, value, "IP:PORT")
+	}
+}
+
+func (c *checker) distinct(set *Settings) {
+	seen := map[string]string{}
+	for _, l := range []struct{ field, address string }{
+		{"callers.listen", set.Callers.Listen},
+		{"peers.listen", set.Peers.Listen},
+		{"administration.listen", set.Administration.Listen},
+	} {
+		if strings.HasSuffix(l.address, ":0") || l.address == "" {
+			continue
+		}
+		if other, taken := seen[l.address]; taken {
+			c.add(l.field, l.address, "an address other than "+other)
+		}
+		seen[l.address] = l.field
+	}
+}
+
+func (c *checker) url(field, value string, required bool) {
+	if value == "" && !required {
+		return
+	}
+	parsed, err := url.Parse(value)
+	if err != nil || parsed.Host == "" || (parsed.Scheme != "http" && parsed.Scheme != "https") {
+		c.add(field, value, "http://HOST:PORT or https://HOST:PORT")
+	}
+}
+
+func (c *checker) tls(t TLS) {
+	if (t.CertificateFile == "") != (t.KeyFile == "") {
+		c.add("tls", t.CertificateFile+","+t.KeyFile, "certificate_file and key_file together, or neither")
+	}
+	if t.AuthorityFile != "" && !t.Enabled() {
+		c.add("tls.authority_file", t.AuthorityFile, "empty without certificate_file and key_file")
+	}
+}
+
+func (c *checker) limits(l Limits) {
+	c.between("limits.header_bytes", int64(l.HeaderBytes), 1<<10, 1<<20)
+	c.between("limits.body_bytes", l.BodyBytes, 1<<10, 64<<20)
+	c.between("limits.answer_bytes", l.AnswerBytes, 1<<10, 256<<20)
+	c.between("limits.body_timeout_ms", l.BodyTimeoutMS, 100, 600_000)
+	c.between("limits.connections", int64(l.Connections), 1, 100_000)
+}
+
+func (c *checker) between(field string, value, low, high int64) {
+	if value < low || value > high {
+		c.add(field, value, fmt.Sprintf("%d to %d", low, high))
+	}
+}
+
+func (c *checker) oneOf(field, value string, allowed ...string) {
+	for _, a := range allowed {
+		if value == a {
+			return
+		}
+	}
+	c.add(field, value, strings.Join(allowed, ", "))
+}
