Publish versions by one swap and bring the highest to every instance

The head decides: chunks, manifest and the record of the base stand in the store before it is swapped, so the audit trail holds the accepted versions whatever answers are lost. A lost answer is settled by repeating the same swap, which takes effect at most once. The publication id carries the version it asks for, so that any instance can tell landed, not landed (another holds that version) and not known yet apart.

Ruled out: reading the head after a lost answer (a stale read says not landed wrongly) and separate audit writes after the swap (lost with the publisher).

The fuzz test found that a publisher paused for an hour between its chunks and its swap could put a version into force whose chunks had been collected. A collection now swaps the head with itself before it deletes, and a publisher whose base was written again writes its contents again.

--- /dev/null
+++ b/serving/version/publication/collect.go
@@ -0,0 +1,180 @@
+package publication
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"papayaport.dev/serving/process/platform"
+)
+
+const (
+	// KeptVersions is the number of latest versions whose contents are kept in the store.
+	KeptVersions = 100
+	// CollectAge is how long a content must have been unused before it is deleted.
+	CollectAge = time.Hour
+	// collectInterval is the time between two collections of one instance.
+	collectInterval = 30 * time.Minute
+)
+
+// mark remembers since when a content was seen unused.
+type mark struct {
+	revision uint64
+	since    time.Time
+}
+
+// Marks holds the unused contents of the store by key.
+type Marks map[string]mark
+
+// Unused returns the entries that no kept manifest names and that were unused, with
+// the same revision, for CollectAge. It updates the marks with what is unused now.
+func (m Marks) Unused(now time.Time, entries []platform.Entry, kept map[string]bool) []platform.Entry {
+	present := map[string]bool{}
+	var unused []platform.Entry
+	for _, entry := range entries {
+		if kept[entry.Key] {
+			continue
+		}
+		present[entry.Key] = true
+		seen, ok := m[entry.Key]
+		if !ok || seen.revision != entry.Revision {
+			m[entry.Key] = mark{entry.Revision, now}
+			continue
+		}
+		if now.Sub(seen.since) >= CollectAge {
+			unused = append(unused, entry)
+		}
+	}
+	for key := range m {
+		if !present[key] {
+			delete(m, key)
+		}
+	}
+	return unused
+}
+
+// Collector deletes the contents of old versions from the store.
+type Collector struct {
+	store Store
+	// chosen tells whether this instance is one of those that collect.
+	chosen func() bool
+	marks  Marks
+	log    logrus.FieldLogger
+}
+
+// NewCollector returns a collector that works while chosen says so.
+func NewCollector(store Store, chosen func() bool, log logrus.FieldLogger) *Collector {
+	return &Collector{store: store, chosen: chosen, marks: Marks{}, log: log}
+}
+
+// Run collects until the context ends.
+func (c *Collector) Run(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(jitter(collectInterval)):
+		}
+		if !c.chosen() {
+			continue
+		}
+		deleted, err := c.Collect(ctx, time.Now())
+		if err != nil {
+			c.log.WithError(err).Warn("publication: collection stopped")
+			continue
+		}
+		c.log.WithField("deleted", deleted).Debug("publication: collection done")
+	}
+}
+
+// Collect deletes what is unused and returns how many values that were. The contents
+// are listed first and the head is swapped with itself afterwards, which proves that it
+// is the latest; a publication that uses a listed content since then has written it
+// again, and the delete by revision spares it.
+func (c *Collector) Collect(ctx context.Context, now time.Time) (int, error) {
+	entries, err := c.list(ctx)
+	if err != nil {
+		return 0, err
+	}
+	head, err := c.confirmHead(ctx)
+	if err != nil {
+		return 0, err
+	}
+	kept, err := c.kept(ctx, head)
+	if err != nil {
+		return 0, err
+	}
+	deleted := 0
+	for _, entry := range c.marks.Unused(now, entries, kept) {
+		err := c.store.Delete(ctx, entry.Key, entry.Revision)
+		if err != nil {
+			return deleted, errors.Wrapf(err, "deleting %s", entry.Key)
+		}
+		deleted++
+	}
+	return deleted, nil
+}
+
+func (c *Collector) list(ctx context.Context) ([]platform.Entry, error) {
+	chunks, err := c.store.List(ctx, ChunkPrefix)
+	if err != nil {
+		return nil, errors.Wrap(err, "listing chunks")
+	}
+	manifests, err := c.store.List(ctx, ManifestPrefix)
+	if err != nil {
+		return nil, errors.Wrap(err, "listing manifests")
+	}
+	return append(chunks.Entries, manifests.Entries...), nil
+}
+
+func (c *Collector) confirmHead(ctx context.Context) (Head, error) {
+	entry, err := c.store.Get(ctx, HeadKey)
+	if err != nil {
+		return Head{}, errors.Wrap(err, "reading head")
+	}
+	_, err = c.store.Put(ctx, HeadKey, entry.Value, entry.Revision)
+	if err != nil {
+		return Head{}, errors.Wrap(err, "confirming head")
+	}
+	return DecodeHead(entry.Value)
+}
+
+// kept returns the keys that the latest versions use.
+func (c *Collector) kept(ctx context.Context, head Head) (map[string]bool, error) {
+	kept := map[string]bool{}
+	for count := 0; count < KeptVersions; count++ {
+		key := ManifestPrefix + string(head.Manifest)
+		if !kept[key] {
+			manifest, err := c.manifest(ctx, head.Manifest)
+			if err != nil {
+				return nil, err
+			}
+			kept[key] = true
+			for _, hash := range manifest.Hashes() {
+				kept[ChunkPrefix+string(hash)] = true
+			}
+		}
+		if head.Version == 1 {
+			return kept, nil
+		}
+		entry, err := c.store.Get(ctx, auditKey(head.Version-1))
+		if err != nil {
+			return nil, errors.Wrapf(err, "reading the record of version %d", head.Version-1)
+		}
+		head, err = DecodeHead(entry.Value)
+		if err != nil {
+			return nil, err
+		}
+	}
+	return kept, nil
+}
+
+func (c *Collector) manifest(ctx context.Context, hash Hash) (Manifest, error) {
+	entry, err := c.store.Get(ctx, ManifestPrefix+string(hash))
+	if err != nil {
+		return Manifest{}, errors.Wrapf(err, "reading manifest %s", hash)
+	}
+	return DecodeManifest(hash, entry.Value)
+}
--- /dev/null
+++ b/serving/version/publication/keeper_test.go
@@ -0,0 +1,138 @@
+package publication
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"papayaport.dev/serving/process/platform"
+	"papayaport.dev/serving/process/problem"
+)
+
+// sharedStore lets several goroutines use a fakeStore.
+type sharedStore struct {
+	mu    sync.Mutex
+	store *fakeStore
+	calls int
+}
+
+func (s *sharedStore) Get(ctx context.Context, key string) (platform.Entry, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	return s.store.Get(ctx, key)
+}
+
+func (s *sharedStore) Put(ctx context.Context, key string, value []byte, ifRevision uint64) (platform.Entry, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.store.Put(ctx, key, value, ifRevision)
+}
+
+func (s *sharedStore) Delete(ctx context.Context, key string, ifRevision uint64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.store.Delete(ctx, key, ifRevision)
+}
+
+func (s *sharedStore) List(ctx context.Context, prefix string) (platform.Entries, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.store.List(ctx, prefix)
+}
+
+// Watch polls, because the store under it has no watches.
+func (s *sharedStore) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (platform.Entries, error) {
+	until := time.Now().Add(wait)
+	for time.Now().Before(until) && ctx.Err() == nil {
+		s.mu.Lock()
+		entry := s.store.values[prefix]
+		s.mu.Unlock()
+		if entry.Revision > after {
+			return platform.Entries{Entries: []platform.Entry{entry}}, nil
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return platform.Entries{}, nil
+}
+
+func (s *sharedStore) set(change func(*fakeStore)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change(s.store)
+}
+
+// TestKeepers publishes to three instances of which one watches the store; the others
+// learn of it from the first. One more starts while the store is down.
+func TestKeepers(t *testing.T) {
+	shared := &sharedStore{store: newFakeStore(first)}
+	keepers := map[string]*Keeper{}
+	of := func(address string) *Keeper { return keepers[address] }
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	defer running.Wait()
+	defer cancel()
+	names := []string{"a", "b", "c", "d"}
+	for _, name := range names {
+		keepers[name] = NewKeeper(shared, &localPeers{names, of}, func() bool { return name == "a" }, quiet())
+	}
+	a, b, c, d := keepers["a"], keepers["b"], keepers["c"], keepers["d"]
+	for _, keeper := range []*Keeper{a, b, c} {
+		running.Go(func() { _ = keeper.Run(ctx) })
+	}
+	exchange := func() {
+		b.Offer("a", a.HeadOf().Version, "")
+		c.Offer("b", b.HeadOf().Version, "")
+	}
+	publisher := NewPublisher(shared, a, quiet())
+	for version := range uint64(3) {
+		request := Request{ID: NewID(version + 1), Operator: "ann", Files: map[string][]byte{"f": testFile("a", int(version))}}
+		_, err := publisher.Publish(ctx, request)
+		require.NoError(t, err)
+		reached := func() bool {
+			exchange()
+			return c.HeadOf().Version == version+1 && b.HeadOf().Version == version+1
+		}
+		require.Eventually(t, reached, 8*time.Second, 20*time.Millisecond)
+	}
+	file, ok := c.Service("a")
+	require.True(t, ok)
+	require.Equal(t, 2, file.Accounts[0].Priority)
+
+	history, err := publisher.History(ctx, 0, 10)
+	require.NoError(t, err)
+	require.Len(t, history, 3)
+	history, err = publisher.History(ctx, 3, 1)
+	require.NoError(t, err)
+	require.Equal(t, uint64(2), history[0].Version)
+
+	shared.set(func(s *fakeStore) { s.down = true })
+	_, err = publisher.Publication(ctx, history[0].Publication)
+	require.Equal(t, problem.NotKnownYet, problem.From(err).Kind)
+	updates, end := c.Subscribe()
+	defer end()
+	require.Equal(t, uint64(3), (<-updates).Number)
+	running.Go(func() { _ = d.Run(ctx) })
+	require.Eventually(t, func() bool { return d.HeadOf().Version == 3 }, 8*time.Second, 20*time.Millisecond)
+	shared.set(func(s *fakeStore) { s.down = false })
+	_, err = publisher.Publication(ctx, history[0].Publication)
+	require.NoError(t, err)
+}
+
+// TestKeeperWithoutSourcesIsNotReady starts an instance with neither store nor peers.
+func TestKeeperWithoutSourcesIsNotReady(t *testing.T) {
+	shared := &sharedStore{store: newFakeStore(first)}
+	shared.store.down = true
+	ctx, cancel := context.WithTimeout(context.Background(), startTimeout+time.Second)
+	defer cancel()
+	keeper := NewKeeper(shared, &localPeers{}, func() bool { return false }, quiet())
+	require.NoError(t, keeper.Run(ctx))
+	require.True(t, keeper.Started())
+	require.False(t, keeper.Ready())
+	require.Equal(t, Head{}, keeper.HeadOf())
+	_, ok := keeper.Chunk("x")
+	require.False(t, ok)
+}
--- /dev/null
+++ b/serving/version/publication/simulation_test.go
@@ -0,0 +1,403 @@
+package publication
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"papayaport.dev/serving/process/problem"
+)
+
+// draw returns a number from 0 to below n.
+type draw func(n int) int
+
+// running is a publication or an inquiry under way.
+type running struct {
+	id      ID
+	attempt *Attempt
+	order   Order
+}
+
+// outcome is what an operator was told.
+type outcome struct {
+	id   ID
+	kind problem.Kind
+	head Head
+}
+
+// adopter is an entry instance.
+type adopter struct {
+	name     Source
+	table    *Table
+	steps    []Step
+	events   []Event
+	seen     uint64
+	cutStore bool
+	cutPeers bool
+}
+
+// world runs publishers, adopters and a store in one thread.
+type world struct {
+	t         require.TestingT
+	draw      draw
+	now       time.Time
+	store     *fakeStore
+	attempts  []*running
+	outcomes  []outcome
+	unknown   []ID
+	adopters  []*adopter
+	collector *Collector
+	count     int
+}
+
+func newWorld(t require.TestingT, draw draw) *world {
+	w := &world{t: t, draw: draw, now: time.Unix(1_800_000_000, 0), store: newFakeStore(draw)}
+	log := logrus.New()
+	w.collector = NewCollector(w.store, func() bool { return true }, log)
+	for i := range 4 {
+		w.adopters = append(w.adopters, &adopter{name: Source(fmt.Sprintf("peer-%d", i))})
+	}
+	for i := range w.adopters {
+		w.restart(i)
+	}
+	return w
+}
+
+// restart replaces an instance by one that knows nothing.
+func (w *world) restart(at int) {
+	old := w.adopters[at]
+	var peers []Source
+	for i, other := range w.adopters {
+		if i != at {
+			peers = append(peers, other.name)
+		}
+	}
+	random := rand.New(rand.NewPCG(1, uint64(w.draw(1<<16))))
+	fresh := &adopter{name: old.name, cutStore: old.cutStore, cutPeers: old.cutPeers}
+	fresh.table, fresh.steps = New(w.now, random, peers)
+	w.adopters[at] = fresh
+}
+
+const testHash = "%064x"
+
+func testFile(name string, priority int) []byte {
+	hash := fmt.Sprintf(testHash, len(name))
+	return fmt.Appendf(nil, `{"name": %q, "kind": "plain", "routes": [{"path": "/"}],
+		"accounts": [{"name": "a-%d", "key_sha256": %q, "priority": %d}]}`, name, len(name), hash, priority)
+}
+
+// publish starts a publication on the latest version or, as in a race, on an older one.
+func (w *world) publish() {
+	base := uint64(max(0, len(w.store.accepted)-w.draw(3)/2))
+	request := Request{ID: NewID(base + 1), Operator: fmt.Sprintf("operator-%d", w.draw(3))}
+	if base > 2 && w.draw(4) == 0 {
+		request.RollbackOf = uint64(1 + w.draw(int(base)))
+	} else {
+		name := strings.Repeat("s", 1+w.draw(3))
+		request.Files = map[string][]byte{name: testFile(name, w.draw(10))}
+	}
+	var previous *Version
+	if from := w.draw(len(w.adopters) + 1); from > 0 {
+		previous = w.adopters[from-1].table.Current()
+	}
+	attempt, order := NewAttempt(w.now.Add(PublishTimeout), request, previous)
+	w.attempts = append(w.attempts, &running{request.ID, attempt, order})
+}
+
+// ask inquires about a publication whose end was not known.
+func (w *world) ask() {
+	if len(w.unknown) == 0 {
+		return
+	}
+	id := w.unknown[w.draw(len(w.unknown))]
+	attempt, order := NewInquiry(w.now.Add(inquiryTimeout), id)
+	w.attempts = append(w.attempts, &running{id, attempt, order})
+}
+
+// stepAttempt carries out one order of one publication.
+func (w *world) stepAttempt() {
+	if len(w.attempts) == 0 {
+		return
+	}
+	at := w.draw(len(w.attempts))
+	r := w.attempts[at]
+	if r.order.Kind == Finish {
+		w.attempts = slices.Delete(w.attempts, at, at+1)
+		w.finish(r)
+		return
+	}
+	w.now = w.now.Add(r.order.Wait)
+	reply := carryOut(w.store, r.order)
+	r.order = r.attempt.Handle(w.now, reply)
+}
+
+func carryOut(s Store, order Order) Reply {
+	p := &Publisher{store: s}
+	return p.carryOut(context.Background(), order)
+}
+
+func (w *world) finish(r *running) {
+	told := outcome{id: r.id, head: r.order.Result.Head}
+	if r.order.Err != nil {
+		told.kind = r.order.Err.Kind
+	}
+	if told.kind == problem.NotKnownYet {
+		w.unknown = append(w.unknown, r.id)
+	}
+	if !r.order.Result.Unchanged {
+		w.outcomes = append(w.outcomes, told)
+	}
+}
+
+// verify compares what operators were told with what was accepted.
+func (w *world) verify() {
+	for _, told := range w.outcomes {
+		version, err := told.id.Version()
+		require.NoError(w.t, err)
+		var actual Head
+		if int(version) <= len(w.store.accepted) {
+			actual = w.store.accepted[version-1]
+		}
+		landed := actual.Publication == told.id
+		switch told.kind {
+		case "":
+			require.True(w.t, landed, "told landed, %s did not", told.id)
+		case problem.VersionConflict:
+			require.False(w.t, landed, "told conflict, %s landed", told.id)
+			require.Equal(w.t, actual.Publication, told.head.Publication, "the wrong winner was named")
+		case problem.StoreUnavailable, problem.BadRequest, problem.InvalidFile:
+			require.False(w.t, landed, "told not landed (%s), %s landed", told.kind, told.id)
+		case problem.NotKnownYet:
+		default:
+			require.Fail(w.t, "unexpected answer", string(told.kind))
+		}
+	}
+	for i, head := range w.store.accepted {
+		require.Equal(w.t, uint64(i+1), head.Version)
+	}
+}
+
+// verifyAudit compares the audit trail with the accepted versions.
+func (w *world) verifyAudit() {
+	publisher := NewPublisher(w.store, nil, nil)
+	history, err := publisher.History(context.Background(), 0, MaxHistory)
+	require.NoError(w.t, err)
+	slices.Reverse(history)
+	require.Equal(w.t, len(w.store.accepted), len(history))
+	for i, head := range history {
+		require.Equal(w.t, w.store.accepted[i].Encode(), head.Encode())
+	}
+	records := 0
+	for key := range w.store.values {
+		if strings.HasPrefix(key, AuditPrefix) {
+			records++
+		}
+	}
+	require.LessOrEqual(w.t, records, len(history))
+}
+
+// stepAdopter carries out one step of an instance or delivers one event to it, which
+// may be lost, doubled or out of order.
+func (w *world) stepAdopter(reliable bool) {
+	a := w.adopters[w.draw(len(w.adopters))]
+	if len(a.steps) > 0 && w.draw(2) == 0 {
+		at := w.draw(len(a.steps))
+		step := a.steps[at]
+		a.steps = slices.Delete(a.steps, at, at+1)
+		if step.Kind == Adopt {
+			return
+		}
+		require.NotEqual(w.t, Refuse, step.Kind)
+		event := w.fetch(a, step)
+		if len(event.Data) > 0 && !reliable && w.draw(12) == 0 {
+			event.Data = [][]byte{event.Data[1:], []byte(`{"files":[]}`)}[w.draw(2)]
+		}
+		a.events = append(a.events, event)
+		return
+	}
+	event := Event{Kind: Ticked}
+	if len(a.events) > 0 {
+		at := w.draw(len(a.events))
+		event = a.events[at]
+		fate := w.draw(10)
+		if reliable || fate > 0 {
+			a.events = slices.Delete(a.events, at, at+1)
+		}
+		if !reliable && fate == 1 {
+			return
+		}
+	}
+	w.now = w.now.Add(20 * time.Millisecond)
+	a.steps = append(a.steps, a.table.Handle(w.now, event)...)
+	w.verifyAdopter(a)
+}
+
+func (w *world) verifyAdopter(a *adopter) {
+	version := a.table.Current()
+	if version == nil {
+		return
+	}
+	require.GreaterOrEqual(w.t, version.Number, a.seen, "an instance went back")
+	require.LessOrEqual(w.t, version.Number, uint64(len(w.store.accepted)))
+	require.Equal(w.t, w.store.accepted[version.Number-1].Manifest, version.Head.Manifest)
+	require.Equal(w.t, version.Head.Manifest, HashOf(version.raw))
+	a.seen = version.Number
+}
+
+func (w *world) peer(name Source) *adopter {
+	for _, other := range w.adopters {
+		if other.name == name {
+			return other
+		}
+	}
+	return nil
+}
+
+// fetch answers a step of an instance.
+func (w *world) fetch(a *adopter, step Step) Event {
+	failed := Event{Kind: FetchFailed, Source: step.Source, Hash: step.Hash, Fetch: step.Kind}
+	var k Keeper
+	k.store = w.store
+	if step.Source != StoreSource {
+		other := w.peer(step.Source)
+		if a.cutPeers || other.cutPeers || other.table.Current() == nil {
+			return failed
+		}
+		k.current.Store(other.table.Current())
+		k.peers = &localPeers{of: func(string) *Keeper { return &k }}
+	} else if a.cutStore {
+		return failed
+	}
+	k.log = quiet()
+	return k.fetch(context.Background(), step)
+}
+
+// offer tells one instance the version of another, or the head of the store.
+func (w *world) offer() {
+	a := w.adopters[w.draw(len(w.adopters))]
+	b := w.adopters[w.draw(len(w.adopters))]
+	if a == b && !a.cutStore {
+		a.steps = append(a.steps, Step{Kind: FetchHead, Source: StoreSource})
+		return
+	}
+	version := b.table.Current()
+	if a != b && !a.cutPeers && !b.cutPeers && version != nil {
+		a.events = append(a.events, Event{Kind: Offered, Source: b.name, Version: version.Number})
+	}
+}
+
+// fault switches one fault on or off, or lets a late write take effect.
+func (w *world) fault() {
+	switch w.draw(8) {
+	case 0:
+		w.store.down = !w.store.down && w.draw(3) == 0
+	case 1:
+		w.store.stale = !w.store.stale && w.draw(2) == 0
+	case 2:
+		w.store.losing = !w.store.losing
+	case 3:
+		a := w.adopters[w.draw(len(w.adopters))]
+		a.cutStore = !a.cutStore
+	case 4:
+		a := w.adopters[w.draw(len(w.adopters))]
+		a.cutPeers = !a.cutPeers
+	case 5:
+		w.restart(w.draw(len(w.adopters)))
+	default:
+		w.late()
+	}
+}
+
+func (w *world) late() {
+	if len(w.store.late) == 0 {
+		return
+	}
+	at := w.draw(len(w.store.late))
+	write := w.store.late[at]
+	w.store.late = slices.Delete(w.store.late, at, at+1)
+	write()
+}
+
+// collect deletes unused contents while publications go on in between.
+func (w *world) collect() {
+	w.now = w.now.Add(time.Duration(w.draw(90)) * time.Minute)
+	w.store.between = func() {
+		if w.draw(4) == 0 {
+			w.store.between = func() {}
+			w.stepAttempt()
+		}
+	}
+	_, _ = w.collector.Collect(context.Background(), w.now)
+	w.store.between = func() {}
+}
+
+// heal ends all faults and lets everything come to rest.
+func (w *world) heal() {
+	w.store.down, w.store.stale, w.store.losing = false, false, false
+	for len(w.store.late) > 0 {
+		w.late()
+	}
+	for len(w.attempts) > 0 {
+		w.stepAttempt()
+	}
+	for _, a := range w.adopters {
+		a.cutStore, a.cutPeers = false, false
+	}
+	for range 4000 {
+		if w.count++; w.count%8 == 0 {
+			w.offer()
+		}
+		w.stepAdopter(true)
+		if w.count%100 == 0 && w.settled() {
+			return
+		}
+	}
+}
+
+func quiet() *logrus.Logger {
+	log := logrus.New()
+	log.SetLevel(logrus.PanicLevel)
+	return log
+}
+
+// settled tells whether every instance has the latest version.
+func (w *world) settled() bool {
+	for _, a := range w.adopters {
+		if a.table.version() < uint64(len(w.store.accepted)) {
+			return false
+		}
+	}
+	return true
+}
+
+// run plays steps of everything in a random order and verifies the promise.
+func (w *world) run(steps int) {
+	for range steps {
+		switch choice := w.draw(20); {
+		case choice < 2 && len(w.attempts) < 3:
+			w.publish()
+		case choice == 2:
+			w.ask()
+		case choice == 3:
+			w.fault()
+		case choice == 4 && w.draw(3) == 0:
+			w.collect()
+		case choice < 6:
+			w.offer()
+		case choice < 13:
+			w.stepAttempt()
+		default:
+			w.stepAdopter(false)
+		}
+	}
+	w.heal()
+	w.verify()
+	w.verifyAudit()
+	require.True(w.t, w.settled(), "an instance is behind")
+}
--- /dev/null
+++ b/serving/version/publication/stateful_test.go
@@ -0,0 +1,73 @@
+package publication
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// localPeers reads from keepers in the same process.
+type localPeers struct {
+	addresses []string
+	of        func(address string) *Keeper
+}
+
+var errCut = errors.New("peer cut off")
+
+func (p *localPeers) Addresses() []string { return p.addresses }
+
+func (p *localPeers) Head(_ context.Context, address string) ([]byte, error) {
+	keeper := p.of(address)
+	if keeper == nil || !keeper.Ready() {
+		return nil, errCut
+	}
+	return keeper.HeadOf().Encode(), nil
+}
+
+func (p *localPeers) Manifest(_ context.Context, address, hash string) ([]byte, error) {
+	return p.content(address, func(k *Keeper) ([]byte, bool) { return k.Manifest(hash) })
+}
+
+func (p *localPeers) Chunk(_ context.Context, address, hash string) ([]byte, error) {
+	return p.content(address, func(k *Keeper) ([]byte, bool) { return k.Chunk(hash) })
+}
+
+func (p *localPeers) content(address string, read func(*Keeper) ([]byte, bool)) ([]byte, error) {
+	keeper := p.of(address)
+	if keeper == nil {
+		return nil, errCut
+	}
+	data, ok := read(keeper)
+	if !ok {
+		return nil, errCut
+	}
+	return data, nil
+}
+
+// TestStatefulSeeds plays the same worlds in every run.
+func TestStatefulSeeds(t *testing.T) {
+	accepted := 0
+	for seed := range uint64(40) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			random := rand.New(rand.NewPCG(seed, 7))
+			w := newWorld(t, random.IntN)
+			w.run(600)
+			accepted += len(w.store.accepted)
+		})
+	}
+	require.Greater(t, accepted, 120, "too few versions are accepted to prove anything")
+}
+
+// TestStatefulPublication searches for a world in which the promise breaks.
+func TestStatefulPublication(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		number := rapid.IntRange(0, 1<<30)
+		draw := func(n int) int { return number.Draw(t, "choice") % n }
+		newWorld(t, draw).run(200)
+	})
+}
