--- /dev/null
+++ b/entry/gateway/call.go
@@ -0,0 +1,149 @@
+package gateway
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+
+	"papayaport.dev/serving/process/problem"
+	"papayaport.dev/serving/version/service"
+)
+
+// Headers that callers may send.
+const (
+	requestHeader     = "X-Request-Id"
+	priorityHeader    = "X-Priority"
+	deadlineHeader    = "X-Deadline-Ms"
+	keyHeader         = "Idempotency-Key"
+	lastEventHeader   = "Last-Event-ID"
+	maxRequestID      = 64
+	maxIdempotencyKey = 64
+	maxDeadlineMS     = int64(24 * time.Hour / time.Millisecond)
+)
+
+// call is one caller's request as it was received.
+type call struct {
+	http *http.Request
+	id   string
+	body []byte
+	// given tells that the caller chose the request id.
+	given    bool
+	file     *service.File
+	account  *service.Account
+	priority int
+	deadline time.Time
+	received time.Time
+}
+
+func (c *call) service() string {
+	if c.file == nil {
+		return ""
+	}
+	return c.file.Name
+}
+
+// receive reads a request's id and body. The call is not nil even with an error.
+func (g *Gateway) receive(w http.ResponseWriter, r *http.Request) (*call, error) {
+	c := &call{http: r, received: g.Clock()}
+	c.id = r.Header.Get(requestHeader)
+	c.given = c.id != ""
+	if !c.given {
+		c.id = uuid.NewString()
+	}
+	if !validID(c.id) {
+		c.id = ""
+		return c, problem.New(problem.BadRequest, "%s must be 1 to %d letters, digits, '-', '_' or '.'", requestHeader, maxRequestID)
+	}
+	if !g.Versions.Ready() {
+		return c, problem.New(problem.NotReady, "no configuration yet")
+	}
+	body, err := g.readBody(w, r)
+	c.body = body
+	return c, err
+}
+
+func validID(id string) bool {
+	if id == "" || len(id) > maxRequestID {
+		return false
+	}
+	for i := range len(id) {
+		if !isIDByte(id[i]) {
+			return false
+		}
+	}
+	return true
+}
+
+func isIDByte(b byte) bool {
+	switch {
+	case b >= 'a' && b <= 'z', b >= 'A' && b <= 'Z', b >= '0' && b <= '9':
+		return true
+	}
+	return b == '-' || b == '_' || b == '.'
+}
+
+func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(g.Limits.BodyTimeout()))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, g.Limits.BodyBytes))
+	if err != nil {
+		return nil, explainBody(err, g.Limits.BodyBytes)
+	}
+	_ = control.SetReadDeadline(time.Time{})
+	return body, nil
+}
+
+func explainBody(err error, limit int64) error {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return problem.New(problem.BodyTooLarge, "the body is over %d bytes", limit)
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return problem.New(problem.SlowSender, "the body did not arrive in time")
+	}
+	return problem.New(problem.BadRequest, "the body broke off")
+}
+
+// identify finds the service and the client account, and reads the call's limits.
+func (g *Gateway) identify(c *call, name string, kind service.Kind) error {
+	file, found := g.Versions.Service(name)
+	if !found || file.Kind != kind {
+		return problem.New(problem.UnknownService, "no %s service %q", kind, name)
+	}
+	key, found := strings.CutPrefix(c.http.Header.Get("Authorization"), "Bearer ")
+	if !found {
+		return problem.New(problem.Unauthenticated, "Authorization must be \"Bearer KEY\"")
+	}
+	account, found := file.Authenticate(strings.TrimSpace(key))
+	if !found {
+		return problem.New(problem.Unauthenticated, "the key belongs to no client account of %s", name)
+	}
+	c.file, c.account = file, account
+	return c.readLimits()
+}
+
+func (c *call) readLimits() error {
+	c.priority = c.account.Priority
+	if text := c.http.Header.Get(priorityHeader); text != "" {
+		priority, err := strconv.Atoi(text)
+		if err != nil || priority < 0 || priority > 9 {
+			return problem.New(problem.BadRequest, "%s must be 0 to 9", priorityHeader)
+		}
+		c.priority = min(c.priority, priority)
+	}
+	c.deadline = c.received.Add(c.file.Deadline())
+	if text := c.http.Header.Get(deadlineHeader); text != "" {
+		limit, err := strconv.ParseInt(text, 10, 64)
+		if err != nil || limit < 1 || limit > maxDeadlineMS {
+			return problem.New(problem.BadRequest, "%s must be 1 to %d", deadlineHeader, maxDeadlineMS)
+		}
+		c.deadline = c.received.Add(time.Duration(limit) * time.Millisecond)
+	}
+	return nil
+}
--- /dev/null
+++ b/entry/gateway/plain.go
@@ -0,0 +1,273 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"papayaport.dev/serving/connection/plain"
+	"papayaport.dev/serving/process/problem"
+	"papayaport.dev/serving/request/action"
+	"papayaport.dev/serving/request/admission"
+	"papayaport.dev/serving/request/retry"
+	"papayaport.dev/serving/request/route"
+	"papayaport.dev/serving/version/service"
+)
+
+// errNotRun means that the backend server said, or the connection shows, that an
+// attempt did not run.
+var errNotRun = errors.New("the attempt did not run")
+
+// plainRun is one plain request over its attempts.
+type plainRun struct {
+	call     *call
+	path     string
+	route    *service.Route
+	key      string
+	attempts int
+	excluded []string
+	// mayHaveRun tells that an earlier attempt was sent and not refused.
+	mayHaveRun bool
+	// sent is called once, before the first attempt may leave.
+	sent func() error
+}
+
+func (g *Gateway) servePlain(w http.ResponseWriter, c *call) {
+	p, err := g.newPlainRun(c)
+	if err != nil {
+		g.refuse(w, c, err)
+		return
+	}
+	ctx, cancel := context.WithDeadlineCause(c.http.Context(), c.deadline, errDeadline)
+	defer cancel()
+	if !p.route.Idempotent {
+		// A sent request runs to its end whether its caller stays or not.
+		ctx, cancel = context.WithDeadlineCause(context.WithoutCancel(c.http.Context()), c.deadline, errDeadline)
+		defer cancel()
+	}
+	answer, err := g.runPlain(ctx, p)
+	if err != nil {
+		g.refuse(w, c, err)
+		return
+	}
+	g.Meters.answered(c.file.Name, "ok")
+	writePlain(w, answer)
+}
+
+func writePlain(w http.ResponseWriter, answer plain.Answer) {
+	header := w.Header()
+	for name, values := range answer.Header {
+		header[name] = values
+	}
+	w.WriteHeader(answer.Status)
+	_, _ = w.Write(answer.Body)
+}
+
+func (g *Gateway) newPlainRun(c *call) (*plainRun, error) {
+	name, rest := plainService(c.http.URL.Path)
+	if err := g.identify(c, name, service.PlainKind); err != nil {
+		return nil, err
+	}
+	matched, found := c.file.Match(c.http.Method, rest)
+	if !found {
+		return nil, problem.New(problem.UnknownRoute, "%s has no route for %s %s", name, c.http.Method, rest)
+	}
+	_, escaped := plainService(c.http.URL.EscapedPath())
+	p := &plainRun{call: c, path: escaped, route: matched, key: c.http.Header.Get(keyHeader)}
+	if matched.Idempotent {
+		p.key = ""
+	}
+	return p, p.checkKey()
+}
+
+func (p *plainRun) checkKey() error {
+	if len(p.key) > maxIdempotencyKey {
+		return problem.New(problem.KeyInvalid, "%s is over %d bytes", keyHeader, maxIdempotencyKey)
+	}
+	if p.key == "" && p.route.KeyRequired {
+		return problem.New(problem.KeyInvalid, "%s is required here: a UUIDv7", keyHeader)
+	}
+	return nil
+}
+
+func (g *Gateway) runPlain(ctx context.Context, p *plainRun) (plain.Answer, error) {
+	id := p.call.file.Name + "/" + p.call.account.Name + "/" + p.call.id + "/" + fmt.Sprint(p.call.received.UnixNano())
+	err := g.gate.enter(ctx, admission.Ask{
+		RequestID: id, Service: p.call.file.Name, Account: p.call.account.Name,
+		Priority: p.call.priority, Deadline: p.call.deadline,
+	})
+	if err != nil {
+		return plain.Answer{}, err
+	}
+	defer g.gate.leave(id, 0)
+	if p.key != "" {
+		return g.runKeyed(ctx, p)
+	}
+	return g.sendPlain(ctx, p)
+}
+
+// runKeyed claims the request's key, so that it runs at most once over all entry instances.
+func (g *Gateway) runKeyed(ctx context.Context, p *plainRun) (plain.Answer, error) {
+	c := p.call
+	ticket, err := g.Actions.Claim(ctx, action.Claim{
+		Service: c.file.Name, Account: c.account.Name, Key: p.key,
+		Fingerprint: action.FingerprintOf(c.http.Method, p.path+"?"+c.http.URL.RawQuery, c.body),
+		Window:      c.file.RetryWindow(),
+	})
+	if err != nil {
+		return plain.Answer{}, err
+	}
+	if ticket.Answer != nil {
+		return plain.Answer{Status: ticket.Answer.Status, Header: ticket.Answer.Header, Body: ticket.Answer.Body}, nil
+	}
+	p.sent = ticket.Sent
+	answer, err := g.sendPlain(ctx, p)
+	record(ticket, answer, err)
+	return answer, err
+}
+
+func record(ticket *action.Ticket, answer plain.Answer, err error) {
+	if err == nil {
+		ticket.Finish(action.Done, &action.Answer{Status: answer.Status, Header: answer.Header, Body: answer.Body})
+		return
+	}
+	if outcomeOf(err) == problem.NotRun {
+		ticket.NotRun()
+		return
+	}
+	ticket.Finish(action.Unknown, nil)
+}
+
+func outcomeOf(err error) problem.Outcome { return problem.From(err).Document("").Outcome }
+
+// sendPlain makes attempts until one is answered or none may follow.
+func (g *Gateway) sendPlain(ctx context.Context, p *plainRun) (plain.Answer, error) {
+	for {
+		choice, err := g.Routes.Choose(g.Clock(), p.routeRequest())
+		if err != nil {
+			return plain.Answer{}, p.givenUp(err)
+		}
+		answer, err := g.attemptPlain(ctx, p, choice)
+		if err == nil {
+			return answer, nil
+		}
+		if err := g.againPlain(ctx, p, choice, err); err != nil {
+			return plain.Answer{}, err
+		}
+	}
+}
+
+func (p *plainRun) routeRequest() route.Request {
+	return route.Request{
+		Service: p.call.file.Name, AnswerTokens: 1, Priority: p.call.priority,
+		Deadline: p.call.deadline, Target: p.call.file.LatencyTarget, Exclude: p.excluded,
+	}
+}
+
+func (g *Gateway) attemptPlain(ctx context.Context, p *plainRun, choice route.Choice) (plain.Answer, error) {
+	p.attempts++
+	if p.attempts == 1 && p.sent != nil {
+		if err := p.sent(); err != nil {
+			return plain.Answer{}, problem.New(problem.AnswerLost, "the claim on the key has ended")
+		}
+	}
+	id := fmt.Sprintf("%s.%d", p.call.id, p.attempts)
+	g.Meters.attempted(p.call.file.Name)
+	g.Routes.Sent(g.Clock(), id, choice, p.routeRequest())
+	limited, cancel := context.WithTimeoutCause(ctx, g.plainLimit(p), errSilent)
+	defer cancel()
+	answer, sent, err := g.Sender.Send(limited, p.attempt(id, choice))
+	err = p.judge(answer, sent, err)
+	g.Routes.Done(g.Clock(), id, plainResult(err, context.Cause(limited)), 0)
+	return answer, err
+}
+
+var errSilent = errors.New("the backend server made no progress")
+
+// plainLimit returns how long one attempt may take. A silent attempt of an idempotent
+// request leaves time for another one.
+func (g *Gateway) plainLimit(p *plainRun) time.Duration {
+	left := p.call.deadline.Sub(g.Clock())
+	if !p.route.Idempotent {
+		return left
+	}
+	return min(left, max(plainSilence, left/3))
+}
+
+// plainSilence is the shortest time after which a plain service without an answer is silent.
+const plainSilence = 2 * time.Second
+
+func (p *plainRun) attempt(id string, choice route.Choice) plain.Attempt {
+	c := p.call
+	return plain.Attempt{
+		ID: id, Backend: choice.Backend.ID, Incarnation: choice.Backend.Incarnation, Address: choice.Backend.Address,
+		Method: c.http.Method, Path: p.path, Query: c.http.URL.RawQuery,
+		Header: c.http.Header, Body: c.body, Idempotent: p.route.Idempotent,
+	}
+}
+
+// judge turns what an attempt gave into an answer, errNotRun or another error.
+func (p *plainRun) judge(answer plain.Answer, sent bool, err error) error {
+	if err != nil && !sent {
+		return errors.Wrap(errNotRun, err.Error())
+	}
+	if err != nil {
+		return err
+	}
+	if slices.Contains(p.route.NotRunStatus, answer.Status) {
+		return errors.Wrapf(errNotRun, "the backend server answered %d", answer.Status)
+	}
+	return nil
+}
+
+func plainResult(err, cause error) route.Result {
+	switch {
+	case err == nil:
+		return route.OK
+	case errors.Is(cause, errSilent):
+		return route.Silent
+	case errors.Is(err, errNotRun):
+		return route.Refused
+	case errors.Is(err, plain.ErrForeign), errors.Is(err, plain.ErrTooLarge):
+		return route.Wrong
+	}
+	return route.Failed
+}
+
+// againPlain waits before the next attempt, or tells what is known of the last one.
+func (g *Gateway) againPlain(ctx context.Context, p *plainRun, choice route.Choice, cause error) error {
+	notRun := errors.Is(cause, errNotRun)
+	g.Log.WithFields(logrus.Fields{"request_id": p.call.id, "backend": choice.Backend.ID}).
+		Warn("gateway: attempt failed: " + cause.Error())
+	if !p.route.Idempotent && !notRun {
+		return problem.New(problem.AnswerLost, "the request was sent and its answer was lost: %v", cause)
+	}
+	p.mayHaveRun = p.mayHaveRun || !notRun
+	p.excluded = append(p.excluded, choice.Backend.ID)
+	wait, err := g.Retries.Next(g.Clock(), retry.Failure{
+		Service: p.call.file.Name, Attempts: p.attempts, Idempotent: p.route.Idempotent, NotRun: notRun,
+		Deadline: p.call.deadline,
+	})
+	if err != nil {
+		return p.givenUp(err)
+	}
+	g.Meters.retried(p.call.file.Name)
+	if err := sleep(ctx, wait); err != nil {
+		return p.givenUp(err)
+	}
+	return nil
+}
+
+// givenUp tells the outcome of a request that gets no further attempt.
+func (p *plainRun) givenUp(err error) error {
+	failure := *problem.From(err)
+	if p.mayHaveRun {
+		return failure.With(problem.Unknown)
+	}
+	return failure.With(problem.NotRun)
+}
