Run the entry daemon

Cause: the gateway had no process. The daemon joins callers' gateway, peers, leases, configuration, instance list, notices and engines' reports, and serves the administration.

--- /dev/null
+++ b/entry/command/command.go
@@ -0,0 +1,76 @@
+// Package command is the daemon's command line: one file per command, listed in one
+// table.
+//
+// # Usage
+//
+//	os.Exit(command.Main(os.Args[1:], os.Stdout, os.Stderr))
+package command
+
+import (
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/alecthomas/kong"
+	"github.com/pkg/errors"
+
+	"papayaport.dev/serving/process/settings"
+)
+
+// Exit codes.
+const (
+	exitDone   = 0
+	exitFailed = 1
+	exitUse    = 2
+)
+
+// commands is the table of the daemon's commands.
+type commands struct {
+	Run           run           `cmd:"" help:"Serve callers, peers and operators until told to stop."`
+	CheckSettings checkSettings `cmd:"" help:"Check a settings file, name all its faults, start nothing."`
+	Version       version       `cmd:"" help:"Print the version."`
+}
+
+// output is where commands write.
+type output struct{ out, err io.Writer }
+
+// Main runs one command and returns the exit code.
+func Main(args []string, out, errOut io.Writer) int {
+	var table commands
+	parser, err := kong.New(&table,
+		kong.Name("papayaport"),
+		kong.Description("The serving daemon of an entry instance."),
+		kong.Writers(out, errOut),
+		kong.DefaultEnvars("PAPAYAPORT"),
+	)
+	if err != nil {
+		fmt.Fprintln(errOut, "papayaport:", err)
+		return exitUse
+	}
+	chosen, err := parser.Parse(args)
+	if err != nil {
+		fmt.Fprintln(errOut, "papayaport:", err)
+		return exitUse
+	}
+	if err := chosen.Run(&output{out, errOut}); err != nil {
+		fmt.Fprintln(errOut, "papayaport:", err)
+		return exitFailed
+	}
+	return exitDone
+}
+
+// readSettings reads and checks a settings file, and prints all its faults.
+func readSettings(file string, out *output) (settings.Settings, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return settings.Settings{}, errors.Wrap(err, "read settings")
+	}
+	set, faults := settings.Parse(file, data)
+	for _, fault := range faults {
+		fmt.Fprintln(out.err, "papayaport:", fault)
+	}
+	if len(faults) > 0 {
+		return set, errors.Errorf("%s has %d faults; nothing was started", file, len(faults))
+	}
+	return set, nil
+}
--- /dev/null
+++ b/entry/command/run.go
@@ -0,0 +1,71 @@
+package command
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"papayaport.dev/entry/daemon"
+	"papayaport.dev/serving/process/settings"
+)
+
+// run starts the daemon. Flags go before the settings file.
+type run struct {
+	Settings  string `required:"" type:"existingfile" help:"Settings file (JSON)."`
+	LogLevel  string `help:"Log level instead of the file's: debug, info, warning, error."`
+	LogFormat string `help:"Log format instead of the file's: text, json."`
+	Policy    string `help:"Routing policy instead of the file's."`
+}
+
+// Run serves until SIGTERM or SIGINT, and then stops without cutting a request.
+func (r *run) Run(out *output) error {
+	set, err := readSettings(r.Settings, out)
+	if err != nil {
+		return err
+	}
+	r.override(&set)
+	log, err := newLog(set.Log, out)
+	if err != nil {
+		return err
+	}
+	d, err := daemon.New(set, log)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	return d.Run(ctx)
+}
+
+func (r *run) override(set *settings.Settings) {
+	for _, value := range []struct {
+		given string
+		into  *string
+	}{
+		{r.LogLevel, &set.Log.Level},
+		{r.LogFormat, &set.Log.Format},
+		{r.Policy, &set.Routing.Policy},
+	} {
+		if value.given != "" {
+			*value.into = value.given
+		}
+	}
+}
+
+func newLog(set settings.Log, out *output) (*logrus.Logger, error) {
+	log := logrus.New()
+	log.SetOutput(out.err)
+	level, err := logrus.ParseLevel(set.Level)
+	if err != nil {
+		return nil, errors.Wrap(err, "log level")
+	}
+	log.SetLevel(level)
+	if set.Format == "json" {
+		log.SetFormatter(&logrus.JSONFormatter{})
+	}
+	return log, nil
+}
--- /dev/null
+++ b/entry/command/version.go
@@ -0,0 +1,16 @@
+package command
+
+import (
+	"fmt"
+
+	"papayaport.dev/entry/daemon"
+)
+
+// version prints the daemon's version.
+type version struct{}
+
+// Run prints the version.
+func (v *version) Run(out *output) error {
+	fmt.Fprintln(out.out, "papayaport", daemon.Version)
+	return nil
+}
--- /dev/null
+++ b/entry/daemon/node.go
@@ -0,0 +1,244 @@
+package daemon
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"papayaport.dev/serving/connection/administration"
+	"papayaport.dev/serving/process/membership"
+	"papayaport.dev/serving/process/platform"
+	"papayaport.dev/serving/process/problem"
+	"papayaport.dev/serving/version/publication"
+	"papayaport.dev/serving/version/service"
+)
+
+const (
+	// staleSource is the age above which what was heard from a source is stale.
+	staleSource = 10 * time.Second
+	// drainTime is the time that a drained backend server has for its work.
+	drainTime = 10 * time.Minute
+)
+
+// node is the entry instance as its operators see it.
+type node struct{ d *Daemon }
+
+// Publish puts service files into force.
+func (n *node) Publish(ctx context.Context, request publication.Request) (publication.Result, error) {
+	return n.d.publisher.Publish(ctx, request)
+}
+
+// Publication tells how a publication ended.
+func (n *node) Publication(ctx context.Context, id publication.ID) (publication.Result, error) {
+	return n.d.publisher.Publication(ctx, id)
+}
+
+// History returns a part of the audit trail.
+func (n *node) History(ctx context.Context, before uint64, limit int) ([]publication.Head, error) {
+	return n.d.publisher.History(ctx, before, limit)
+}
+
+// Current returns the version in force.
+func (n *node) Current() *publication.Version { return n.d.keeper.Current() }
+
+// Drain stops new work for this instance or for a backend server.
+func (n *node) Drain(_ context.Context, id string) error {
+	if id == "" || id == n.d.set.Instance {
+		n.d.gateway.Drain(true)
+		n.d.tellLocal(time.Now())
+		return nil
+	}
+	inst, found := n.d.fleet.find(id)
+	if !found || inst.Role != platform.BackendRole {
+		return problem.New(problem.BadRequest, "no backend server %q in the instance list", id)
+	}
+	n.d.notice(inst.ID, inst.Incarnation, drainTime)
+	n.d.heed()
+	return nil
+}
+
+// Undrain lets this instance take requests again.
+func (n *node) Undrain(_ context.Context, id string) error {
+	if id != "" && id != n.d.set.Instance {
+		return problem.New(problem.BadRequest, "the drain of a backend server lasts until it starts again")
+	}
+	n.d.gateway.Drain(false)
+	n.d.tellLocal(time.Now())
+	return nil
+}
+
+// Status tells how the instance is.
+func (n *node) Status() administration.Status {
+	d := n.d
+	now := time.Now()
+	status := administration.Status{
+		Instance: d.set.Instance, Incarnation: d.set.Incarnation,
+		Region: d.set.Region, FailureDomain: d.set.FailureDomain,
+		Draining: d.gateway.Draining(), UptimeMS: now.Sub(d.started).Milliseconds(),
+		InFlight: d.gateway.InFlight(), Sources: n.sources(now),
+		Leaving: n.leaving(now), Leases: n.leases(),
+	}
+	if err := d.ready(); err != nil {
+		status.Reason = err.Error()
+	}
+	status.Ready = status.Reason == ""
+	for _, file := range n.files() {
+		waiting, _ := d.admission.Waiting(file.Name)
+		status.Queued += waiting
+	}
+	if version := d.keeper.Current(); version != nil {
+		status.Version = version.Number
+		status.Publication = version.Head.Publication
+		status.Operator = version.Head.Operator
+		status.PublishedAt = version.Head.Time
+		status.VersionAgeMS = now.Sub(d.keeper.Freshness().Adopted).Milliseconds()
+	}
+	return status
+}
+
+func (n *node) files() []*service.File {
+	version := n.d.keeper.Current()
+	if version == nil {
+		return nil
+	}
+	var files []*service.File
+	for _, file := range version.Files {
+		files = append(files, file)
+	}
+	slices.SortFunc(files, func(a, b *service.File) int { return strings.Compare(a.Name, b.Name) })
+	return files
+}
+
+func source(kind, name string, heard, now time.Time) administration.Source {
+	s := administration.Source{Kind: kind, Name: name, AgeMS: -1, Stale: true}
+	if !heard.IsZero() {
+		s.AgeMS = now.Sub(heard).Milliseconds()
+		s.Stale = now.Sub(heard) > staleSource
+	}
+	return s
+}
+
+func (n *node) sources(now time.Time) []administration.Source {
+	d := n.d
+	_, listed := d.fleet.list()
+	sources := []administration.Source{source("instance_list", "", listed, now)}
+	if d.watching() {
+		sources = append(sources, source("store", "", d.keeper.Freshness().Store, now))
+	}
+	for _, member := range d.members.Members(now) {
+		sources = append(sources, source("peer", member.Instance, member.Heard, now))
+	}
+	ages := d.fleet.ages()
+	for _, inst := range d.engines() {
+		sources = append(sources, source("backend", inst.ID, ages[inst.ID], now))
+	}
+	return sources
+}
+
+func (n *node) leaving(now time.Time) []administration.Leaving {
+	var leaving []administration.Leaving
+	for _, l := range n.d.members.LeavingSet() {
+		leaving = append(leaving, administration.Leaving{
+			Instance: l.Instance, Incarnation: l.Incarnation, LeaveInMS: l.Deadline.Sub(now).Milliseconds(),
+		})
+	}
+	return leaving
+}
+
+func (n *node) leases() []administration.Lease {
+	var leases []administration.Lease
+	for _, name := range n.d.wantedLeases() {
+		if fencing, held := n.d.leases.Held(name); held {
+			leases = append(leases, administration.Lease{Name: name, Fencing: fencing})
+		}
+	}
+	return leases
+}
+
+// Services returns the services in force with their use through this instance.
+func (n *node) Services() []administration.Service {
+	list, _ := n.d.fleet.list()
+	used := n.used()
+	var services []administration.Service
+	for _, file := range n.files() {
+		s := administration.Service{Name: file.Name, Kind: file.Kind, Accounts: len(file.Accounts)}
+		if file.Model != nil {
+			s.Model = file.Model.Name + " " + file.Model.Version
+		}
+		s.Queued, _ = n.d.admission.Waiting(file.Name)
+		for _, inst := range list {
+			if inst.Service == file.Name {
+				n.countBackend(&s, inst, used)
+			}
+		}
+		services = append(services, s)
+	}
+	return services
+}
+
+func (n *node) used() map[string]int {
+	used := map[string]int{}
+	for _, use := range n.d.routes.Use() {
+		used[use.Backend] = use.InFlight
+	}
+	return used
+}
+
+func (n *node) countBackend(s *administration.Service, inst platform.Instance, used map[string]int) {
+	s.InFlight += used[inst.ID]
+	if _, leaving := n.d.routes.IsLeaving(inst.ID); leaving {
+		s.Leaving++
+		return
+	}
+	s.Backends++
+}
+
+// Accounts returns the client accounts with their use over all entry instances.
+func (n *node) Accounts() []administration.Account {
+	now := time.Now()
+	totals := n.d.members.Totals(now).ByAccount
+	own := map[string]membership.AccountUse{}
+	for _, use := range n.d.admission.Use(now) {
+		own[use.Account] = use
+	}
+	var accounts []administration.Account
+	for _, file := range n.files() {
+		for _, account := range file.Accounts {
+			name := file.Name + "/" + account.Name
+			accounts = append(accounts, accountOf(file, account, totals[name], own[name]))
+		}
+	}
+	return accounts
+}
+
+func accountOf(file *service.File, account service.Account, others, own membership.AccountUse) administration.Account {
+	return administration.Account{
+		Service: file.Name, Name: account.Name, Priority: account.Priority,
+		RequestsPerSecond: account.RequestsPerSecond, TokensPerSecond: account.TokensPerSecond,
+		Concurrency:           account.Concurrency,
+		UsedRequestsPerSecond: others.RequestsPerSecond + own.RequestsPerSecond,
+		UsedTokensPerSecond:   others.TokensPerSecond + own.TokensPerSecond,
+		InFlight:              others.InFlight + own.InFlight,
+	}
+}
+
+// Instances returns the instances that are known.
+func (n *node) Instances() []administration.Instance {
+	list, _ := n.d.fleet.list()
+	used := n.used()
+	leaving := map[string]bool{}
+	for _, l := range n.d.members.LeavingSet() {
+		leaving[l.Instance+"/"+formatIncarnation(l.Incarnation)] = true
+	}
+	var instances []administration.Instance
+	for _, inst := range list {
+		instances = append(instances, administration.Instance{
+			ID: inst.ID, Incarnation: inst.Incarnation, Role: string(inst.Role), Service: inst.Service,
+			Address: inst.Address, Region: inst.Region, FailureDomain: inst.FailureDomain, Class: inst.Class,
+			PricePerHour: inst.PricePerHour, InFlight: used[inst.ID],
+			Leaving: leaving[inst.ID+"/"+formatIncarnation(inst.Incarnation)],
+		})
+	}
+	return instances
+}
--- /dev/null
+++ b/entry/daemon/peers.go
@@ -0,0 +1,192 @@
+package daemon
+
+import (
+	"context"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"papayaport.dev/serving/connection/peer"
+	"papayaport.dev/serving/process/membership"
+	"papayaport.dev/serving/request/action"
+)
+
+func formatIncarnation(incarnation uint64) string { return strconv.FormatUint(incarnation, 10) }
+
+// peerSource reads configurations from peers.
+type peerSource struct{ d *Daemon }
+
+// Addresses lists the live peers.
+func (p *peerSource) Addresses() []string {
+	addresses := slices.Clone(p.d.set.SeedPeers)
+	for _, member := range p.d.members.Live(time.Now()) {
+		if !slices.Contains(addresses, member.PeerAddress) {
+			addresses = append(addresses, member.PeerAddress)
+		}
+	}
+	return addresses
+}
+
+// Head reads the head of the highest version at a peer.
+func (p *peerSource) Head(ctx context.Context, address string) ([]byte, error) {
+	return p.d.peers.Head(ctx, address)
+}
+
+// Manifest reads a manifest from a peer.
+func (p *peerSource) Manifest(ctx context.Context, address, hash string) ([]byte, error) {
+	return p.d.peers.Manifest(ctx, address, hash)
+}
+
+// Chunk reads a chunk from a peer.
+func (p *peerSource) Chunk(ctx context.Context, address, hash string) ([]byte, error) {
+	return p.d.peers.Chunk(ctx, address, hash)
+}
+
+// actionPeers carries queries about keyed requests.
+type actionPeers struct{ d *Daemon }
+
+// Answer sends a query to the process of another entry instance.
+func (a *actionPeers) Answer(ctx context.Context, to action.Member, query action.Query) (action.Reply, error) {
+	var reply action.Reply
+	address, found := a.d.peerAddress(to.Instance)
+	if !found {
+		return reply, errors.Errorf("no address of instance %s", to.Instance)
+	}
+	data, err := cbor.Marshal(query)
+	if err != nil {
+		return reply, errors.Wrap(err, "encode query")
+	}
+	answer, err := a.d.peers.Action(ctx, address, data)
+	if err != nil {
+		return reply, err
+	}
+	return reply, errors.Wrap(cbor.Unmarshal(answer, &reply), "decode reply")
+}
+
+func (d *Daemon) peerAddress(instance string) (string, bool) {
+	for _, member := range d.members.Members(time.Now()) {
+		if member.Instance == instance {
+			return member.PeerAddress, true
+		}
+	}
+	return "", false
+}
+
+func (d *Daemon) actionMembers() []action.Member {
+	var members []action.Member
+	for _, member := range d.members.Members(time.Now()) {
+		members = append(members, action.Member{Instance: member.Instance, Incarnation: member.Incarnation})
+	}
+	return members
+}
+
+// requestPeers reaches the entry instances that may hold or take a request.
+type requestPeers struct{ d *Daemon }
+
+// Ranked orders live peers by rendezvous hash of the request (Thaler and Ravishankar,
+// 1998), so that all entry instances agree on the likeliest holder.
+func (p *requestPeers) Ranked(request string) []string {
+	members := p.d.members.Live(time.Now())
+	score := func(m membership.Member) uint64 { return xxhash.Sum64String(m.Instance + "\x00" + request) }
+	slices.SortFunc(members, func(a, b membership.Member) int {
+		if score(a) > score(b) {
+			return -1
+		}
+		return 1
+	})
+	addresses := make([]string, len(members))
+	for i, member := range members {
+		addresses[i] = member.PeerAddress
+	}
+	return addresses
+}
+
+// Find asks a peer whether it holds a request.
+func (p *requestPeers) Find(ctx context.Context, address, request string) (bool, error) {
+	return p.d.peers.Find(ctx, address, request)
+}
+
+// Attach reads the answer of a request at a peer.
+func (p *requestPeers) Attach(ctx context.Context, address, request string, offset int64, receive func([]byte) error) error {
+	return p.d.peers.Attach(ctx, address, request, offset, receive)
+}
+
+// HandOver gives an unfinished request to a peer.
+func (p *requestPeers) HandOver(ctx context.Context, address, request string, body, state []byte) error {
+	return p.d.peers.HandOver(ctx, address, peer.HandOver{RequestID: request, Body: body, State: state})
+}
+
+// handler answers the calls of other entry instances.
+type handler struct{ d *Daemon }
+
+// Exchange takes in a membership message.
+func (h *handler) Exchange(_ context.Context, message membership.Message) (membership.Message, error) {
+	reply := h.d.members.Receive(time.Now(), message)
+	h.d.heed()
+	return reply, nil
+}
+
+// Head gives the head of the version in force.
+func (h *handler) Head(context.Context) ([]byte, error) {
+	head := h.d.keeper.HeadOf()
+	if head.Version == 0 {
+		return nil, peer.ErrNotFound
+	}
+	return head.Encode(), nil
+}
+
+// Manifest gives a manifest that is held.
+func (h *handler) Manifest(_ context.Context, hash string) ([]byte, error) {
+	return held(h.d.keeper.Manifest(hash))
+}
+
+// Chunk gives a chunk that is held.
+func (h *handler) Chunk(_ context.Context, hash string) ([]byte, error) {
+	return held(h.d.keeper.Chunk(hash))
+}
+
+func held(data []byte, found bool) ([]byte, error) {
+	if !found {
+		return nil, peer.ErrNotFound
+	}
+	return data, nil
+}
+
+// Action answers a query about keyed requests.
+func (h *handler) Action(ctx context.Context, data []byte) ([]byte, error) {
+	var query action.Query
+	if err := cbor.Unmarshal(data, &query); err != nil {
+		return nil, errors.Wrap(err, "decode query")
+	}
+	reply, err := h.d.actions.Serve(ctx, query)
+	if err != nil {
+		return nil, err
+	}
+	answer, err := cbor.Marshal(reply)
+	return answer, errors.Wrap(err, "encode reply")
+}
+
+// HandOver takes over a request.
+func (h *handler) HandOver(_ context.Context, handOver peer.HandOver) error {
+	if h.d.gateway.Draining() {
+		return errors.New("this instance is leaving as well")
+	}
+	return h.d.gateway.TakeOver(handOver.RequestID, handOver.Body, handOver.State)
+}
+
+// Find tells whether a request is held.
+func (h *handler) Find(_ context.Context, request string) (bool, error) {
+	return h.d.gateway.Holds(request), nil
+}
+
+// Attach sends the answer of a held request.
+func (h *handler) Attach(ctx context.Context, request string, offset int64, send func([]byte) error) error {
+	if !h.d.gateway.Holds(request) {
+		return peer.ErrNotFound
+	}
+	return h.d.gateway.Attach(ctx, request, offset, send)
+}
--- /dev/null
+++ b/entry/daemon/serve.go
@@ -0,0 +1,198 @@
+package daemon
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"papayaport.dev/serving/connection/administration"
+	"papayaport.dev/serving/connection/peer"
+	"papayaport.dev/serving/process/problem"
+	"papayaport.dev/serving/process/settings"
+)
+
+const (
+	headerTimeout = 5 * time.Second
+	idleTimeout   = 60 * time.Second
+	// headerSlack is how far a request's headers may pass the limit and still be answered
+	// with a problem document.
+	headerSlack = 4
+)
+
+func loadTLS(set settings.TLS) (*tls.Config, error) {
+	if !set.Enabled() {
+		return nil, nil
+	}
+	certificate, err := tls.LoadX509KeyPair(set.CertificateFile, set.KeyFile)
+	if err != nil {
+		return nil, errors.Wrap(err, "load TLS certificate")
+	}
+	config := &tls.Config{Certificates: []tls.Certificate{certificate}, MinVersion: tls.VersionTLS13}
+	if set.AuthorityFile == "" {
+		return config, nil
+	}
+	data, err := os.ReadFile(set.AuthorityFile)
+	if err != nil {
+		return nil, errors.Wrap(err, "read TLS authority")
+	}
+	config.RootCAs = x509.NewCertPool()
+	if !config.RootCAs.AppendCertsFromPEM(data) {
+		return nil, errors.Errorf("%s holds no certificate", set.AuthorityFile)
+	}
+	return config, nil
+}
+
+func loadTokens(file string) (administration.Tokens, error) {
+	if file == "" {
+		return nil, nil
+	}
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, errors.Wrap(err, "read operator tokens")
+	}
+	return administration.ParseTokens(file, data)
+}
+
+// peerServerTLS asks peers for a certificate of the same authority.
+func (d *Daemon) peerServerTLS() *tls.Config {
+	if d.tls == nil || d.tls.RootCAs == nil {
+		return d.tls
+	}
+	config := d.tls.Clone()
+	config.ClientCAs = d.tls.RootCAs
+	config.ClientAuth = tls.RequireAndVerifyClientCert
+	return config
+}
+
+// servers are the HTTP servers of the process.
+type servers struct{ callers, administration *http.Server }
+
+// listen opens the three listeners and serves them.
+func (d *Daemon) listen(ctx context.Context, group *errgroup.Group) (*servers, error) {
+	callers, err := d.open(d.set.Callers.Listen)
+	if err != nil {
+		return nil, err
+	}
+	operators, err := d.open(d.set.Administration.Listen)
+	if err != nil {
+		return nil, err
+	}
+	peers, err := net.Listen("tcp", d.set.Peers.Listen)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for peers")
+	}
+	options := d.peerOptions()
+	options.TLS = d.peerServerTLS()
+	group.Go(func() error { return ignoreEnd(ctx, peer.Serve(ctx, peers, &handler{d}, options)) })
+	s := &servers{callers: d.server(d.limitHeaders(d.gateway)), administration: d.server(d.administration())}
+	group.Go(func() error { return ignoreClosed(s.callers.Serve(limit(callers, d.set.Limits.Connections))) })
+	group.Go(func() error { return ignoreClosed(s.administration.Serve(operators)) })
+	return s, nil
+}
+
+func ignoreClosed(err error) error {
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+func (d *Daemon) open(address string) (net.Listener, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen")
+	}
+	if d.tls == nil {
+		return listener, nil
+	}
+	config := d.tls.Clone()
+	config.NextProtos = []string{"http/1.1"}
+	return tls.NewListener(listener, config), nil
+}
+
+func (d *Daemon) server(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: headerSlack * d.set.Limits.HeaderBytes,
+		ErrorLog:       discard,
+	}
+}
+
+func (d *Daemon) administration() http.Handler {
+	hooks := administration.Hooks{Metrics: d.writeMetrics, Ready: d.ready}
+	return administration.New(&node{d}, d.tokens, hooks, d.entry("administration"))
+}
+
+func (d *Daemon) writeMetrics(w io.Writer) {
+	d.meters.WritePrometheus(w)
+	writeProcessMetrics(w)
+}
+
+func (d *Daemon) ready() error {
+	if d.gateway.Draining() {
+		return problem.New(problem.Leaving, "draining")
+	}
+	if !d.keeper.Ready() {
+		return problem.New(problem.NotReady, "no configuration yet")
+	}
+	return nil
+}
+
+// limitHeaders refuses requests whose headers pass the limit.
+func (d *Daemon) limitHeaders(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		size := len(r.RequestURI)
+		for name, values := range r.Header {
+			for _, value := range values {
+				size += len(name) + len(value)
+			}
+		}
+		if size > d.set.Limits.HeaderBytes {
+			problem.Write(w, problem.New(problem.HeaderTooLarge, "headers and path are over %d bytes", d.set.Limits.HeaderBytes), "")
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// limitedListener accepts a bounded number of connections at a time.
+type limitedListener struct {
+	net.Listener
+	places chan struct{}
+}
+
+func limit(listener net.Listener, connections int) net.Listener {
+	return &limitedListener{Listener: listener, places: make(chan struct{}, connections)}
+}
+
+// Accept waits for a free place and then for a connection.
+func (l *limitedListener) Accept() (net.Conn, error) {
+	l.places <- struct{}{}
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		<-l.places
+		return nil, err
+	}
+	return &limitedConn{Conn: conn, places: l.places}, nil
+}
+
+type limitedConn struct {
+	net.Conn
+	once   sync.Once
+	places chan struct{}
+}
+
+// Close frees the connection's place.
+func (c *limitedConn) Close() error {
+	c.once.Do(func() { <-c.places })
+	return c.Conn.Close()
+}
--- a/entry/main.go
+++ b/entry/main.go
@@ -1,4 +1,10 @@
 // Command papayaport is the daemon on an entry instance.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"papayaport.dev/entry/command"
+)
+
+func main() { os.Exit(command.Main(os.Args[1:], os.Stdout, os.Stderr)) }
