--- a/entry/gateway/deliver.go
+++ b/entry/gateway/deliver.go
@@ -100,16 +100,15 @@
 	flusher *http.ResponseController
 	call    *call
 	answer  *run
-	// head and tail are the parts of every event around id, content and index.
-	head, tail string
-	buffer     []byte
+	// head is the part of every event before its content.
+	head   string
+	buffer []byte
 }
 
 func (g *Gateway) follower(w http.ResponseWriter, c *call, r *run) *follower {
 	f := &follower{gateway: g, writer: w, flusher: http.NewResponseController(w), call: c, answer: r}
 	f.head = `{"id":"` + c.id + `","object":"chat.completion.chunk","created":` + strconv.FormatInt(r.started.Unix(), 10) +
 		`,"model":"` + r.file.Name + `","choices":[{"index":0,"delta":{`
-	f.tail = `}}]}` + "\n\n"
 	return f
 }
 
@@ -149,7 +148,9 @@
 	f.buffer = append(f.buffer, f.head...)
 	f.buffer = append(f.buffer, `"content":`...)
 	f.buffer = appendJSON(f.buffer, token)
-	f.buffer = append(f.buffer, f.tail...)
+	f.buffer = append(f.buffer, `}}],"token_index":`...)
+	f.buffer = strconv.AppendInt(f.buffer, int64(index), 10)
+	f.buffer = append(f.buffer, "}\n\n"...)
 }
 
 func appendJSON(buffer []byte, value any) []byte {
@@ -177,7 +178,9 @@
 	f.buffer = append(f.buffer, f.head...)
 	f.buffer = append(f.buffer, `},"finish_reason":`...)
 	f.buffer = appendJSON(f.buffer, end.Reason)
-	f.buffer = append(f.buffer, `}],"usage":`...)
+	f.buffer = append(f.buffer, `}],"token_index":`...)
+	f.buffer = strconv.AppendInt(f.buffer, int64(tokens), 10)
+	f.buffer = append(f.buffer, `,"usage":`...)
 	f.buffer = appendJSON(f.buffer, end.Usage)
 	f.buffer = append(f.buffer, "}\n\ndata: [DONE]\n\n"...)
 	f.gateway.Meters.answered(f.answer.file.Name, "ok")
