--- a/serving/request/admission/admission.go
+++ b/serving/request/admission/admission.go
@@ -172,8 +172,8 @@
 		for name, a := range q.accounts {
 			u := membership.AccountUse{
 				Account:           q.name + "/" + name,
-				RequestsPerSecond: a.requests.rate(now),
-				TokensPerSecond:   a.tokens.rate(now),
+				RequestsPerSecond: a.requests.demand.rate(now),
+				TokensPerSecond:   a.tokens.demand.rate(now),
 				InFlight:          a.running,
 			}
 			if u.InFlight > 0 || u.RequestsPerSecond > negligibleRate {
--- a/serving/request/admission/ask.go
+++ b/serving/request/admission/ask.go
@@ -33,8 +33,8 @@
 	if a == nil || a.removed {
 		return refuse(ask.RequestID, problem.New(problem.Forbidden, "account %s may not use service %s", ask.Account, ask.Service)), nil
 	}
-	a.requests.add(now, 1)
-	a.tokens.add(now, float64(ask.Tokens))
+	a.requests.demand.add(now, 1)
+	a.tokens.demand.add(now, float64(ask.Tokens))
 	if wait := t.overRate(now, q, a, float64(ask.Tokens)); wait > 0 {
 		err := problem.New(problem.AccountLimit, "account %s is over its rate for service %s", ask.Account, ask.Service)
 		return refuse(ask.RequestID, err.After(clampRetry(wait))), nil
@@ -92,32 +92,38 @@
 
 // overRate returns how long the account has to wait for its rates, 0 when it needn't.
 func (t *Table) overRate(now time.Time, q *queue, a *account, tokens float64) time.Duration {
-	peers := t.peersUse(now, q, a.limits.Name)
-	fleet := t.fleet(now)
+	t.updateRates(now, q, a)
 	wait := time.Duration(0)
+	if a.limits.RequestsPerSecond > 0 {
+		wait = a.requests.missing(1)
+	}
+	if a.limits.TokensPerSecond > 0 {
+		wait = max(wait, a.tokens.missing(tokens))
+	}
+	return wait
+}
+
+// updateRates computes the rates that an account may use here.
+func (t *Table) updateRates(now time.Time, q *queue, a *account) {
+	peers, fleet := t.peersUse(now, q, a.limits.Name), t.fleet(now)
 	if limit := a.limits.RequestsPerSecond; limit > 0 {
-		rate := fleet.share(limit, a.requests.lowest(now), peers.RequestsPerSecond)
-		a.requestsBucket.refill(now, rate, 1)
-		wait = max(wait, a.requestsBucket.missing(1, rate, 1))
+		a.requests.update(now, fleet, limit, peers.RequestsPerSecond)
 	}
 	if limit := a.limits.TokensPerSecond; limit > 0 {
-		rate := fleet.share(limit, a.tokens.lowest(now), peers.TokensPerSecond)
-		a.tokensBucket.refill(now, rate, 1)
-		wait = max(wait, a.tokensBucket.missing(tokens, rate, 1))
+		a.tokens.update(now, fleet, limit, peers.TokensPerSecond)
 	}
-	return wait
 }
 
 // take charges a request to its account's buckets.
 func (a *account) take(i *item) {
-	a.requestsBucket.level--
-	a.tokensBucket.level -= float64(i.Tokens)
+	a.requests.bucket.level--
+	a.tokens.bucket.level -= float64(i.Tokens)
 }
 
 // giveBack returns the charge of a request that was not run.
 func (a *account) giveBack(i *item) {
-	a.requestsBucket.level++
-	a.tokensBucket.level += float64(i.Tokens)
+	a.requests.bucket.level++
+	a.tokens.bucket.level += float64(i.Tokens)
 }
 
 // pump admits waiting requests while there is room.
@@ -148,13 +154,17 @@
 	return max(even, total-q.peersRunning)
 }
 
-// belowConcurrency tells whether an account may run one more request here.
+// belowConcurrency tells whether an account may run one more request here: within its
+// share of the limit, and within the limit together with what the others reported. An
+// entry instance that runs none may always run one. Over all entry instances this gives
+// at most the limit and one for each of them while demand stays where it is; when demand
+// moves, requests that were admitted elsewhere before come on top until they are reported.
 func (t *Table) belowConcurrency(now time.Time, q *queue, a *account, f fleet) bool {
 	limit := a.limits.Concurrency
 	if limit <= 0 {
 		return true
 	}
 	peers := t.peersUse(now, q, a.limits.Name)
-	share := int(float64(limit) * f.fraction(a.requests.lowest(now), peers.RequestsPerSecond))
+	share := int(float64(limit) * f.fraction(a.requests.demand.lowest(now), peers.RequestsPerSecond))
 	return a.running < max(share, 1) && a.running+peers.InFlight < limit
 }
--- a/serving/request/admission/done.go
+++ b/serving/request/admission/done.go
@@ -18,9 +18,9 @@
 	t.end(i)
 	q := i.queue
 	q.learn(now.Sub(i.admitted), tokens)
-	i.account.tokensBucket.level += float64(i.Tokens - tokens)
+	i.account.tokens.bucket.level += float64(i.Tokens - tokens)
 	if tokens > i.Tokens {
-		i.account.tokens.add(now, float64(tokens-i.Tokens))
+		i.account.tokens.demand.add(now, float64(tokens-i.Tokens))
 	}
 	return t.pump(now, q)
 }
--- a/serving/request/admission/queue.go
+++ b/serving/request/admission/queue.go
@@ -42,10 +42,8 @@
 	// et al., 1996).
 	virtual float64
 
-	requests       demand
-	tokens         demand
-	requestsBucket bucket
-	tokensBucket   bucket
+	requests limiter
+	tokens   limiter
 }
 
 // item is one request that waits or runs.
--- a/serving/request/admission/share.go
+++ b/serving/request/admission/share.go
@@ -20,7 +20,11 @@
 // heard entry instances reported last. Entry instances that are not heard keep an even
 // part for themselves. As long as reports are younger than knowledgeAge, every reported
 // demand is at least the smallest one that its sender uses for itself, and so the shares
-// of all entry instances add up to the limit at most, however demand moves.
+// of all entry instances add up to the limit at most, however demand moves. With the
+// buckets, all entry instances together admit at most the limit times a window, one
+// burstTime's worth more, and one request for each of them. After a cut, entry instances
+// that notice it at different times may exceed this by the share of the one that notices
+// it last, for as long as the difference.
 func (f fleet) share(limit, own, peers float64) float64 {
 	even := limit / float64(max(f.listed, f.heard))
 	limit = even * float64(f.heard)
@@ -33,6 +37,25 @@
 	return share + limit*own/(own+peers)
 }
 
+// limiter divides one limit of one account.
+type limiter struct {
+	demand demand
+	bucket bucket
+	// rate is the part of the limit that may be used here, as of the last update.
+	rate float64
+}
+
+// update computes the rate that the limit allows here, and fills the bucket by it.
+func (l *limiter) update(now time.Time, f fleet, limit, peers float64) {
+	l.rate = f.share(limit, l.demand.lowest(now), peers)
+	l.bucket.refill(now, l.rate, 1)
+}
+
+// missing returns how long it takes until an amount may be taken, after update.
+func (l *limiter) missing(amount float64) time.Duration {
+	return l.bucket.missing(amount, l.rate, 1)
+}
+
 // fraction returns the part of an indivisible limit, such as a number of requests in
 // flight, that this entry instance may use. It adds up to 1 at most like share.
 func (f fleet) fraction(own, peers float64) float64 {
