Read callers' streams as the daemon writes them

Events to callers carry their index in the id and no token_index, and a stream that fails on its way ends with an error event. The programs' directory is made absolute, since a bare name would be looked up in PATH.

--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -10,14 +10,12 @@
 package caller
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
 	"io"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -155,60 +153,6 @@
 	return r
 }
 
-// read reads events until the final marker.
-func (a *Answer) read(from io.Reader, began time.Time, token func(int, string)) error {
-	var text strings.Builder
-	defer func() { a.Text = text.String() }()
-	last := began
-	scanner := bufio.NewScanner(from)
-	scanner.Buffer(nil, maxEventBytes)
-	for scanner.Scan() {
-		line := scanner.Text()
-		if id, found := strings.CutPrefix(line, "id:"); found {
-			a.LastEventID = strings.TrimSpace(id)
-		}
-		data, found := strings.CutPrefix(line, "data:")
-		if !found {
-			continue
-		}
-		data = strings.TrimSpace(data)
-		if data == "[DONE]" {
-			return nil
-		}
-		var chunk wire.Chunk
-		if err := json.Unmarshal([]byte(data), &chunk); err != nil || len(chunk.Choices) != 1 {
-			return errors.Errorf("event is invalid: %s", data)
-		}
-		a.take(chunk, &last, began)
-		if chunk.Usage != nil || chunk.Choices[0].Delta.Content == "" {
-			continue
-		}
-		text.WriteString(chunk.Choices[0].Delta.Content)
-		if token != nil {
-			token(chunk.Index, chunk.Choices[0].Delta.Content)
-		}
-	}
-	if err := scanner.Err(); err != nil {
-		return errors.Wrap(ErrTruncated, err.Error())
-	}
-	return ErrTruncated
-}
-
-func (a *Answer) take(chunk wire.Chunk, last *time.Time, began time.Time) {
-	now := time.Now()
-	if chunk.Usage != nil {
-		a.Usage = chunk.Usage
-		return
-	}
-	if a.Tokens == 0 {
-		a.FirstToken = now.Sub(began)
-	} else {
-		a.Longest = max(a.Longest, now.Sub(*last))
-	}
-	a.Tokens++
-	*last = now
-}
-
 // Call is a request to a plain service.
 type Call struct {
 	Method string
--- a/standin/caller/caller_test.go
+++ b/standin/caller/caller_test.go
@@ -33,6 +33,15 @@
 			require.ErrorIs(t, err, ErrTruncated)
 			require.Equal(t, "the law", answer.Text)
 		}},
+		"fails on the way": {
+			"id: r:0\ndata: {\"choices\":[{\"delta\":{\"content\":\"the\"}}]}\n\nevent: error\ndata: {\"kind\":\"backend_failed\",\"outcome\":\"failed\"}\n\n",
+			func(t *testing.T, answer Answer, err error) {
+				var refused *Refusal
+				require.ErrorAs(t, err, &refused)
+				require.Equal(t, problem.BackendFailed, refused.Kind)
+				require.Equal(t, "the", answer.Text)
+			},
+		},
 		"nonsense": {"data: {\n\n", func(t *testing.T, _ Answer, err error) {
 			require.ErrorContains(t, err, "invalid")
 		}},
--- a/standin/launch/launch.go
+++ b/standin/launch/launch.go
@@ -168,6 +168,11 @@
 }
 
 func (s *System) prepare(context.Context) error {
+	bin, err := filepath.Abs(s.plan.BinDir)
+	if err != nil {
+		return errors.Wrap(err, "finding the programs")
+	}
+	s.plan.BinDir = bin
 	for _, name := range s.plan.Tenants {
 		tenant, err := tenants.Get(name)
 		if err != nil {
