Carry out capacity plans in the daemon

Cause: the planner had no process. The daemon tells it load, reports, prices and notices, and tries for the capacity leases of its failure domain.

--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -26,6 +26,7 @@
 	"papayaport.dev/serving/connection/peer"
 	"papayaport.dev/serving/connection/plain"
 	"papayaport.dev/serving/connection/pool"
+	"papayaport.dev/serving/process/capacity"
 	"papayaport.dev/serving/process/lease"
 	"papayaport.dev/serving/process/membership"
 	"papayaport.dev/serving/process/platform/cloud"
@@ -66,6 +67,7 @@
 	leases    *lease.Leases
 	keeper    *publication.Keeper
 	publisher *publication.Publisher
+	capacity  *capacity.Manager
 	actions   *action.Keeper
 	routes    *route.Table
 	admission *admission.Table
@@ -102,6 +104,7 @@
 	}
 	d.joinVersions()
 	d.joinGateway()
+	d.joinCapacity()
 	d.fleet = newFleet()
 	d.registerGauges()
 	return d, nil
@@ -208,7 +211,7 @@
 func (d *Daemon) loops(ctx context.Context, group *errgroup.Group) {
 	for _, loop := range []func(context.Context) error{
 		d.keeper.Run, d.actions.Run, d.leases.Run,
-		d.runExchange, d.runList, d.runNotices, d.runEngines, d.runTicks, d.runVersions,
+		d.runExchange, d.runList, d.runNotices, d.runEngines, d.runTicks, d.runVersions, d.runCapacity,
 	} {
 		group.Go(func() error { return ignoreEnd(ctx, loop(ctx)) })
 	}
--- a/entry/daemon/exchange.go
+++ b/entry/daemon/exchange.go
@@ -79,6 +79,9 @@
 
 func (d *Daemon) heedLeaving(leaving membership.Leaving) {
 	if leaving.Instance != d.set.Instance {
+		if d.capacity != nil {
+			d.capacity.Notice(leaving.Instance, leaving.Incarnation)
+		}
 		d.gateway.Leaving(leaving.Instance, leaving.Incarnation, leaving.Deadline)
 		return
 	}
@@ -102,6 +105,9 @@
 	for place := range watchersPerDomain {
 		names = append(names, watchLease(d.set.FailureDomain, place))
 	}
+	if d.capacity != nil {
+		names = append(names, d.capacity.LeaseNames()...)
+	}
 	return names
 }
 
@@ -159,6 +165,9 @@
 	}
 	d.admission.SetServices(now, version.Number, files)
 	d.retries.SetServices(now, files)
+	if d.capacity != nil {
+		d.capacity.SetServices(capacityFiles(files))
+	}
 	if list, heard := d.fleet.list(); !heard.IsZero() {
 		d.applyBackends(now, list)
 	}
--- a/entry/daemon/fleet.go
+++ b/entry/daemon/fleet.go
@@ -117,6 +117,9 @@
 	d.fleet.set(list.Instances, now.Add(-time.Duration(list.AgeMS)*time.Millisecond))
 	d.members.Instances(now, list.Instances)
 	d.applyBackends(now, list.Instances)
+	if d.capacity != nil {
+		d.capacity.Instances(list)
+	}
 	for _, inst := range list.Instances {
 		if inst.Leaving {
 			d.notice(inst.ID, inst.Incarnation, time.Duration(inst.LeaveInMS)*time.Millisecond)
