Tell since when a service of the platform is silent

An instance that is cut from the key-value service loses its watch leases and then makes no calls about the configuration, so that the keeper alone can't tell that the service is silent. The transport sees every call.

--- /dev/null
+++ b/serving/process/platform/contact/contact.go
@@ -0,0 +1,57 @@
+// Package contact remembers when a service of the platform last answered and last failed
+// to, so that an instance can tell how stale what it knows from there may be.
+//
+// # Usage
+//
+//	contact := contact.New(transport)
+//	client := store.New(&http.Client{Transport: contact}, address, prefix)
+//	heard, lost := contact.State()
+package contact
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Contact is a transport to one service.
+type Contact struct {
+	next http.RoundTripper
+
+	mu    sync.Mutex
+	heard time.Time
+	lost  bool
+}
+
+// New returns a transport that hands requests to next.
+func New(next http.RoundTripper) *Contact { return &Contact{next: next} }
+
+// RoundTrip implements http.RoundTripper.
+func (c *Contact) RoundTrip(request *http.Request) (*http.Response, error) {
+	response, err := c.next.RoundTrip(request)
+	if errors.Is(err, context.Canceled) {
+		return response, err // the caller gave up, which tells nothing about the service
+	}
+	c.note(err == nil && response.StatusCode < http.StatusInternalServerError)
+	return response, err
+}
+
+func (c *Contact) note(answered bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lost = !answered
+	if answered {
+		c.heard = time.Now()
+	}
+}
+
+// State returns when the service last answered, zero for never, and whether a request
+// failed since then. Refusals of single requests count as answers, server errors do not.
+func (c *Contact) State() (heard time.Time, lost bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.heard, c.lost
+}
