--- a/serving/request/action/await.go
+++ b/serving/request/action/await.go
@@ -68,7 +68,7 @@
 		t.end(now, p, nil, answerForgotten(p.target.Status))
 		return
 	}
-	p.replaces = p.target.Nonce
+	p.replaces = p.target.id()
 	t.write(now, p)
 }
 
--- a/serving/request/action/members.go
+++ b/serving/request/action/members.go
@@ -19,10 +19,10 @@
 	avoided map[Member]time.Time
 }
 
-func (m *members) update(now time.Time, self Member, live []Member) {
+func (m *members) update(now time.Time, live []Member) {
 	others := make([]Member, 0, len(live))
 	for _, member := range live {
-		if member.Instance != self.Instance {
+		if member.Instance != m.self.Instance {
 			others = append(others, member)
 		}
 	}
@@ -33,7 +33,6 @@
 			delete(m.avoided, member)
 		}
 	}
-	m.self = self
 	m.others = others
 }
 
--- a/serving/request/action/messages.go
+++ b/serving/request/action/messages.go
@@ -23,8 +23,8 @@
 	Page PageName `cbor:"3,keyasint"`
 	// Record is the record to write; for other kinds it names hash and nonce.
 	Record Record `cbor:"4,keyasint"`
-	// Replaces is the nonce of a claim whose holder has said that it never runs.
-	Replaces uint64 `cbor:"5,keyasint,omitempty"`
+	// Replaces is a claim whose holder has said that it never runs.
+	Replaces ClaimID `cbor:"5,keyasint"`
 	// WaitMS is how long the asker waits, in milliseconds.
 	WaitMS int64 `cbor:"6,keyasint"`
 }
--- /dev/null
+++ b/serving/request/action/model_test.go
@@ -0,0 +1,41 @@
+package action
+
+import "github.com/pkg/errors"
+
+var errTimeout = errors.New("timeout")
+
+// modelStore is the key-value service as the tables see it.
+type modelStore struct {
+	down     bool
+	revision uint64
+	values   map[PageName]StoreResult
+	past     map[PageName][]StoreResult
+	swaps    int
+}
+
+func newModelStore() *modelStore {
+	return &modelStore{values: map[PageName]StoreResult{}, past: map[PageName][]StoreResult{}}
+}
+
+func (s *modelStore) swap(o Swap) StoreResult {
+	current := s.values[o.Page]
+	if current.Revision != o.IfRevision {
+		current.State = StoreConflict
+		return current
+	}
+	s.swaps++
+	s.revision++
+	s.past[o.Page] = append(s.past[o.Page], current)
+	s.values[o.Page] = StoreResult{Value: o.Value, Revision: s.revision}
+	return StoreResult{State: StoreOK, Revision: s.revision}
+}
+
+// read may answer from the past.
+func (s *modelStore) read(page PageName, stale bool) StoreResult {
+	if past := s.past[page]; stale && len(past) > 0 {
+		return past[len(past)-1]
+	}
+	return s.values[page]
+}
+
+func (s *modelStore) remove(page PageName) { delete(s.values, page) }
--- a/serving/request/action/peers.go
+++ b/serving/request/action/peers.go
@@ -68,9 +68,7 @@
 	}
 	t.members.avoid(c.to, now.Add(avoidTime))
 	c.change.sent = true
-	if t.wanted(c.change) {
-		t.submitHere(now, c.page, c.change)
-	}
+	t.submitHere(now, c.page, c.change)
 }
 
 func (t *Table) holderReplied(now time.Time, c call, reply Reply, err error) {
@@ -150,6 +148,15 @@
 	return Reply{State: NoClaim}
 }
 
+// pollAll polls for the claims of this process among changes that failed to be written.
+func (t *Table) pollAll(changes []*change) {
+	for _, c := range changes {
+		if p := t.pending[c.record.Nonce]; p != nil && c.isClaim() && !p.polling {
+			t.poll(p)
+		}
+	}
+}
+
 // poll asks all other members about a key that can't be looked up in the store.
 func (t *Table) poll(p *pending) {
 	p.polling = true
--- a/serving/request/action/pending.go
+++ b/serving/request/action/pending.go
@@ -26,14 +26,15 @@
 	nonce    uint64
 	deadline time.Time
 	state    waitState
-	replaces uint64
+	replaces ClaimID
 	// target is the record of the claim that is awaited.
 	target Record
 	// ownerGone tells that the holder of target is known to be gone.
 	ownerGone bool
 	retryAt   time.Time
 
-	// pollAt is when the other members are asked about the key while the store fails.
+	// pollAt is when the other members are asked about the key at the latest; they are
+	// asked as soon as a swap with the claim fails.
 	pollAt  time.Time
 	polling bool
 	// ruledOut are the members that said that they never claimed the key.
@@ -111,9 +112,9 @@
 
 func (t *Table) decideClaimed(now time.Time, p *pending, record Record) {
 	switch {
-	case record.Nonce == p.nonce:
+	case record.id() == p.record(t.self.Member()).id():
 		t.grant(now, p)
-	case record.Nonce == p.replaces:
+	case record.id() == p.replaces:
 		t.write(now, p)
 	default:
 		t.await(now, p, record)
@@ -152,7 +153,6 @@
 // end answers the caller of a claim that never runs.
 func (t *Table) end(now time.Time, p *pending, answer *Answer, err error) {
 	t.forget(p)
-	t.withdraw(t.page(p.key.page), p.nonce)
 	t.order(Resolve{Claim: p.nonce, Answer: answer, Err: err})
 	t.notify(now, p.nonce)
 }
--- a/serving/request/action/record.go
+++ b/serving/request/action/record.go
@@ -15,19 +15,25 @@
 	Answer *Answer `cbor:"7,keyasint,omitempty"`
 }
 
-// sameClaim tells whether two records stem from the same claim.
-func (r Record) sameClaim(other Record) bool {
-	return r.Hash == other.Hash && r.Nonce == other.Nonce && r.Owner == other.Owner
+// ClaimID names a claim on a key. The zero value names none.
+type ClaimID struct {
+	Owner Member `cbor:"1,keyasint"`
+	Nonce uint64 `cbor:"2,keyasint"`
 }
 
+func (r Record) id() ClaimID { return ClaimID{Owner: r.Owner, Nonce: r.Nonce} }
+
+// sameClaim tells whether two records stem from the same claim.
+func (r Record) sameClaim(other Record) bool { return r.Hash == other.Hash && r.id() == other.id() }
+
 // records are the records of one page.
 type records map[Hash]Record
 
 // change is a claim or an outcome that waits to be written into a page.
 type change struct {
 	record Record
-	// replaces is the nonce of a claim whose holder has said that it never runs.
-	replaces uint64
+	// replaces is a claim whose holder has said that it never runs.
+	replaces ClaimID
 	// query is the peer's query that asked for the change, 0 for a change of this process.
 	query uint64
 	// due is when the change should be written at the latest.
@@ -75,10 +81,10 @@
 }
 
 func replaceable(c *change, current Record) bool {
-	if current.Nonce == c.record.Nonce || current.Fingerprint != c.record.Fingerprint {
+	if current.sameClaim(c.record) || current.Fingerprint != c.record.Fingerprint {
 		return false
 	}
-	return current.Outcome == NotRun || current.Outcome == Claimed && c.replaces == current.Nonce
+	return current.Outcome == NotRun || current.Outcome == Claimed && c.replaces == current.id()
 }
 
 // stripAnswers removes the answers that the given changes brought.
--- a/serving/request/action/swap.go
+++ b/serving/request/action/swap.go
@@ -17,13 +17,11 @@
 
 // pageState is a page as this entry instance last saw it, and what waits to be written.
 type pageState struct {
-	name     PageName
-	revision uint64
-	records  records
-	changes  []*change
-	flight   *flight
-	// unsure tells that an earlier swap may yet take effect on this revision.
-	unsure    bool
+	name      PageName
+	revision  uint64
+	records   records
+	changes   []*change
+	flight    *flight
 	notBefore time.Time
 	failures  int
 	conflicts int
@@ -84,7 +82,7 @@
 	if state.flight != nil || now.Before(state.notBefore) || !state.due(now) {
 		return
 	}
-	changes := state.changes
+	changes := t.stillWanted(now, state.changes)
 	state.changes = nil
 	next, write := state.merge(changes)
 	if !write {
@@ -105,11 +103,11 @@
 }
 
 // merge applies changes to a copy of the records. The second result tells whether a
-// swap is needed: also one without an effect is when only a swap can tell what stands
-// in the store.
+// swap is needed: one without an effect is when only a swap can tell what stands in the
+// store.
 func (s *pageState) merge(changes []*change) (records, bool) {
 	next := maps.Clone(s.records)
-	write := s.unsure
+	write := false
 	for _, c := range changes {
 		if next.apply(c) != settled {
 			write = true
@@ -180,7 +178,6 @@
 func (t *Table) swapped(now time.Time, state *pageState, done *flight, revision uint64) {
 	state.records = done.records
 	state.revision = revision
-	state.unsure = false
 	state.failures = 0
 	state.conflicts = 0
 	state.notBefore = now.Add(t.settings.FlushInterval)
@@ -192,51 +189,46 @@
 // followed at once by another swap: it only shows a page that wasn't read before.
 func (t *Table) conflicted(now time.Time, state *pageState, done *flight, result StoreResult) {
 	state.replace(result)
-	state.unsure = false
 	state.failures = 0
-	t.requeue(state, done.changes)
+	state.requeue(done.changes)
 	state.conflicts++
 	if state.conflicts > 1 {
 		state.notBefore = now.Add(t.jitter(t.settings.FlushInterval))
 	}
-	if next, write := state.merge(state.changes); !write {
-		changes := state.changes
-		state.changes = nil
-		state.records = next
-		t.settleAll(now, state, changes)
-	}
 }
 
 func (t *Table) failed(now time.Time, state *pageState, done *flight, unsure bool) {
 	if unsure {
-		state.unsure = true
 		for _, c := range done.changes {
 			c.sent = true
 		}
 	}
-	t.requeue(state, done.changes)
+	state.requeue(done.changes)
+	t.pollAll(done.changes)
 	state.failures++
 	backoff := min(1<<min(state.failures-1, maxBackoff), maxBackoff)
 	state.notBefore = now.Add(t.jitter(t.settings.RetryInterval * time.Duration(backoff)))
 }
 
-// requeue puts changes back in front of those that came meanwhile. A claim whose
-// caller has been answered is not written again; if it may be in the store already, it
-// is recorded as not run.
-func (t *Table) requeue(state *pageState, changes []*change) {
-	wanted := make([]*change, 0, len(changes)+len(state.changes))
+// requeue puts changes back in front of those that came meanwhile.
+func (s *pageState) requeue(changes []*change) { s.changes = append(changes, s.changes...) }
+
+// stillWanted returns the changes that are still to be written. A claim whose caller
+// has been answered is left out; if it may be in the store already, it is recorded as
+// not run. So is the change of a peer that no longer waits left out.
+func (t *Table) stillWanted(now time.Time, changes []*change) []*change {
+	wanted := make([]*change, 0, len(changes))
 	for _, c := range changes {
-		if t.wanted(c) {
+		if t.wanted(now, c) {
 			wanted = append(wanted, c)
 		}
 	}
-	state.changes = append(wanted, state.changes...)
+	return wanted
 }
 
-func (t *Table) wanted(c *change) bool {
+func (t *Table) wanted(now time.Time, c *change) bool {
 	if c.query != 0 {
-		_, waiting := t.queries[c.query]
-		return waiting
+		return now.Before(t.queries[c.query])
 	}
 	if !c.isClaim() || t.pending[c.record.Nonce] != nil {
 		return true
@@ -245,17 +237,6 @@
 	return c.sent
 }
 
-// withdraw takes back the queued claim of a caller that has been answered.
-func (t *Table) withdraw(state *pageState, nonce uint64) {
-	queued := state.changes
-	state.changes = nil
-	for _, c := range queued {
-		if c.query != 0 || c.record.Nonce != nonce || t.wanted(c) {
-			state.changes = append(state.changes, c)
-		}
-	}
-}
-
 // dropQueryChange takes back the change of a peer that no longer waits.
 func (t *Table) dropQueryChange(id uint64) {
 	for _, state := range t.pages {
--- a/serving/request/action/table.go
+++ b/serving/request/action/table.go
@@ -40,7 +40,7 @@
 		settings: settings,
 		rng:      rng,
 		started:  now,
-		members:  members{avoided: map[Member]time.Time{}},
+		members:  members{self: self.Member(), avoided: map[Member]time.Time{}},
 		pages:    map[PageName]*pageState{},
 		pending:  map[uint64]*pending{},
 		waiting:  map[Hash]int{},
@@ -101,7 +101,7 @@
 // Tick lets time pass: deadlines, retries, flushes and the removal of what expired.
 // live are the entry instances that are heard of or listed, with or without this one.
 func (t *Table) Tick(now time.Time, live []Member) []Order {
-	t.members.update(now, t.self.Member(), live)
+	t.members.update(now, live)
 	t.expireQueries(now)
 	t.tickPending(now)
 	t.tickPages(now)
