--- a/entry/gateway/gateway_test.go
+++ b/entry/gateway/gateway_test.go
@@ -242,7 +242,7 @@
 		outcome problem.Outcome
 		runs    int64
 	}{
-		"closes after reading": {func(w http.ResponseWriter, _ *http.Request) { panic(http.ErrAbortHandler) }, problem.Unknown, 1},
+		"closes after reading": {func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, problem.Unknown, 1},
 		"says not run":         {func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }, problem.NotRun, 0},
 		"foreign answer": {func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set(engine.AttemptHeader, "other")
--- a/standin/command/command.go
+++ b/standin/command/command.go
@@ -12,6 +12,7 @@
 
 	"github.com/alecthomas/kong"
 
+	"papayaport.dev/standin/figures"
 	"papayaport.dev/standin/load"
 	"papayaport.dev/standin/measure"
 )
@@ -28,6 +29,7 @@
 	Link     linkCommand     `cmd:"" help:"Run a link of faulty relays."`
 	Load     load.Command    `cmd:"" help:"Send one shape of requests and report times and outcomes."`
 	Measure  measure.Command `cmd:"" help:"Compare routing policies on the same engines, arrivals and seeds."`
+	Figures  figures.Command `cmd:"" help:"Measure what one entry instance adds and carries."`
 }
 
 // Main parses the command line and runs its command.
