Let the keeper of action records rest when it is idle

Ruled out by a processor profile: membership, engine reports, list reading. Change: only events from outside end the pause; the daemon keeps the members for 250 ms.

--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -76,7 +76,8 @@
 	meters    *metrics.Set
 	tokens    administration.Tokens
 
-	fleet *fleet
+	fleet      *fleet
+	memberList memberList
 	// leave is closed when this instance must go.
 	leave     chan struct{}
 	leaveOnce sync.Once
--- a/entry/daemon/peers.go
+++ b/entry/daemon/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -76,12 +77,30 @@
 	return "", false
 }
 
+// memberPeriod is how long the list of members for the action records is kept.
+const memberPeriod = 250 * time.Millisecond
+
+// memberList keeps the members for the action records, which ask for them often.
+type memberList struct {
+	mu      sync.Mutex
+	read    time.Time
+	members []action.Member
+}
+
 func (d *Daemon) actionMembers() []action.Member {
-	var members []action.Member
-	for _, member := range d.members.Members(time.Now()) {
-		members = append(members, action.Member{Instance: member.Instance, Incarnation: member.Incarnation})
+	list := &d.memberList
+	list.mu.Lock()
+	defer list.mu.Unlock()
+	now := time.Now()
+	if now.Sub(list.read) < memberPeriod {
+		return list.members
+	}
+	list.read = now
+	list.members = nil
+	for _, member := range d.members.Members(now) {
+		list.members = append(list.members, action.Member{Instance: member.Instance, Incarnation: member.Incarnation})
 	}
-	return members
+	return list.members
 }
 
 // requestPeers reaches the entry instances that may hold or take a request.
--- /dev/null
+++ b/serving/request/action/idle_test.go
@@ -0,0 +1,33 @@
+package action
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"papayaport.dev/serving/process/platform"
+)
+
+// TestIdleKeeperRests counts the ticks of a Keeper without claims.
+func TestIdleKeeperRests(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	store := &memoryStore{entries: map[string]platform.Entry{}}
+	var ticks atomic.Int64
+	live := func() []Member {
+		ticks.Add(1)
+		return nil
+	}
+	self := Self{Instance: "entry-0", Incarnation: 1, FailureDomain: "a"}
+	keeper := New(store, &fleet{}, self, live, DefaultSettings(), rand.New(rand.NewPCG(1, 1)), logrus.NewEntry(log))
+	ctx, cancel := context.WithTimeout(context.Background(), 4*idleTick)
+	defer cancel()
+	require.NoError(t, keeper.Run(ctx))
+	require.Less(t, ticks.Load(), int64(3*time.Second/idleTick))
+}
--- a/serving/request/action/keeper.go
+++ b/serving/request/action/keeper.go
@@ -97,7 +97,9 @@
 
 func (k *Keeper) tick() {
 	live := k.live()
-	k.update(func(now time.Time, table *Table) []Order { return table.Tick(now, live) })
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.dispatch(k.table.Tick(time.Now(), live))
 }
 
 func (k *Keeper) pause(ctx context.Context) {
@@ -141,10 +143,15 @@
 }
 
 // update lets the table decide and hands out its orders.
+// update carries out a decision and ends the pause between two ticks.
 func (k *Keeper) update(decide func(time.Time, *Table) []Order) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.dispatch(decide(time.Now(), k.table))
+	select {
+	case k.wake <- struct{}{}:
+	default:
+	}
 }
 
 func (k *Keeper) dispatch(orders []Order) {
@@ -160,10 +167,6 @@
 			k.storeCalls.push(o)
 		}
 	}
-	select {
-	case k.wake <- struct{}{}:
-	default:
-	}
 }
 
 func (k *Keeper) pushCall(call Call) {
