Count connections below TLS

Cause: the limit of connections wrapped TLS connections, so that net/http did not see them as such: no answer to plain HTTP and no handshake deadline. TestTLSOnAllListeners failed for the callers' listener and passes now.

--- a/entry/daemon/serve.go
+++ b/entry/daemon/serve.go
@@ -26,6 +26,8 @@
 	// headerSlack is how far a request's headers may pass the limit and still be answered
 	// with a problem document.
 	headerSlack = 4
+	// operatorConnections bounds the connections of operators at a time.
+	operatorConnections = 256
 )
 
 func loadTLS(set settings.TLS) (*tls.Config, error) {
@@ -78,11 +80,11 @@
 
 // listen opens the three listeners and serves them.
 func (d *Daemon) listen(ctx context.Context, group *errgroup.Group) (*servers, error) {
-	callers, err := d.open(d.set.Callers.Listen)
+	callers, err := d.open(d.set.Callers.Listen, d.set.Limits.Connections)
 	if err != nil {
 		return nil, err
 	}
-	operators, err := d.open(d.set.Administration.Listen)
+	operators, err := d.open(d.set.Administration.Listen, operatorConnections)
 	if err != nil {
 		return nil, err
 	}
@@ -94,7 +96,7 @@
 	options.TLS = d.peerServerTLS()
 	group.Go(func() error { return ignoreEnd(ctx, peer.Serve(ctx, peers, &handler{d}, options)) })
 	s := &servers{callers: d.server(d.limitHeaders(d.gateway)), administration: d.server(d.administration())}
-	group.Go(func() error { return ignoreClosed(s.callers.Serve(limit(callers, d.set.Limits.Connections))) })
+	group.Go(func() error { return ignoreClosed(s.callers.Serve(callers)) })
 	group.Go(func() error { return ignoreClosed(s.administration.Serve(operators)) })
 	return s, nil
 }
@@ -106,11 +108,14 @@
 	return err
 }
 
-func (d *Daemon) open(address string) (net.Listener, error) {
+// open listens for a bounded number of connections at a time. The limit stands below
+// TLS, so that net/http sees the TLS connection itself.
+func (d *Daemon) open(address string, connections int) (net.Listener, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
 	}
+	listener = limit(listener, connections)
 	if d.tls == nil {
 		return listener, nil
 	}
