--- a/serving/request/action/sweep.go
+++ b/serving/request/action/sweep.go
@@ -1,9 +1,6 @@
 package action
 
-import (
-	"strconv"
-	"time"
-)
+import "time"
 
 const (
 	// purgeInterval is the time between two looks for expired claims.
@@ -15,8 +12,8 @@
 
 // sweep is the state of the removal of what expired.
 type sweep struct {
-	// bucket is the next bucket whose pages are to be removed.
-	bucket   int64
+	// next is the number of the next page to be removed, counted over all buckets.
+	next     int64
 	purgedAt time.Time
 }
 
@@ -28,27 +25,25 @@
 	return true
 }
 
-// sweepPages removes the pages of the next expired bucket. Every bucket is removed
-// twice, each time by the member with the highest hash.
+// sweepPages removes expired pages one at a time, evenly over the length of a bucket.
+// Every page is removed twice, each time by the member with the highest hash.
 func (t *Table) sweepPages(now time.Time) {
-	expired := now.Add(-t.settings.Retention-t.settings.Grace).UnixMilli()/BucketLength.Milliseconds() - 1
-	if t.sweep.bucket == 0 {
-		t.sweep.bucket = expired
+	age := now.Add(-t.settings.Retention - t.settings.Grace).UnixMilli()
+	last := age*PagesPerBucket/BucketLength.Milliseconds() - PagesPerBucket
+	if t.sweep.next == 0 {
+		t.sweep.next = last + 1
 	}
-	if t.sweep.bucket > expired {
+	if t.sweep.next > last {
 		return
 	}
-	t.sweepBucket(t.sweep.bucket, "first")
-	t.sweepBucket(t.sweep.bucket-secondSweep, "second")
-	t.sweep.bucket++
+	t.sweepPage(t.sweep.next, "first")
+	t.sweepPage(t.sweep.next-secondSweep*PagesPerBucket, "second")
+	t.sweep.next++
 }
 
-func (t *Table) sweepBucket(bucket int64, turn string) {
-	role := PageName("sweep/" + turn + "/" + strconv.FormatInt(bucket, 10))
-	if t.members.writer(time.Time{}, role) != t.members.self {
-		return
-	}
-	for index := range PagesPerBucket {
-		t.order(Delete{Page: pageName(bucket, index)})
+func (t *Table) sweepPage(number int64, turn string) {
+	page := pageName(number/PagesPerBucket, int(number%PagesPerBucket))
+	if t.members.writer(time.Time{}, page+PageName(turn)) == t.members.self {
+		t.order(Delete{Page: page})
 	}
 }
