Pay for retries with plain successes; free a failed request's id

Cause of the first: only whole model answers filled the retry budget, so that a plain service had the reserve of ten retries and one a second. TestSuccessesPayForRetries failed before (fewer than 25 attempts for 10 requests) and passes after. Cause of the second: a run that ended with an error stayed under its request id for a minute, and a caller that came back after Retry-After got the old failure; TestRequestIDMayBeUsedAgainAfterAFailure failed before with no_backend and passes after.

--- a/entry/gateway/chat.go
+++ b/entry/gateway/chat.go
@@ -120,7 +120,7 @@
 func (g *Gateway) find(c *call, body chat, last lastEvent) (*run, error) {
 	key := c.file.Name + "/" + c.account.Name + "/" + c.id
 	fingerprint := handover.Fingerprint(c.body)
-	if held, found := g.runs.get(key); found {
+	if held, found := g.runs.get(key); found && !held.failed() {
 		return matching(held, fingerprint)
 	}
 	fresh := newRun(key, c, body)
--- a/entry/gateway/plain.go
+++ b/entry/gateway/plain.go
@@ -154,6 +154,7 @@
 		}
 		answer, err := g.attemptPlain(ctx, p, choice)
 		if err == nil {
+			g.Retries.Success(p.call.file.Name)
 			return answer, nil
 		}
 		if err := g.againPlain(ctx, p, choice, err); err != nil {
--- a/entry/gateway/runs.go
+++ b/entry/gateway/runs.go
@@ -147,6 +147,12 @@
 	return r.ended.IsZero() && r.readers == 0 && !r.unread.IsZero() && now.Sub(r.unread) > keepUnread
 }
 
+// failed tells whether the run ended without a whole answer.
+func (r *run) failed() bool {
+	end := r.log.Ended()
+	return end != nil && end.Err != nil
+}
+
 func (r *run) expired(now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -172,11 +178,12 @@
 	return &runs{clock: clock, byKey: map[string]*run{}}
 }
 
-// add holds a run, or returns the one that is held under its key already.
+// add holds a run, or returns the one that is held under its key already. A run that
+// failed gives way.
 func (s *runs) add(r *run) (held *run, added bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if known, found := s.byKey[r.key]; found {
+	if known, found := s.byKey[r.key]; found && !known.failed() {
 		return known, false
 	}
 	s.byKey[r.key] = r
