--- a/serving/version/publication/keeper.go
+++ b/serving/version/publication/keeper.go
@@ -183,11 +183,13 @@
 	}
 }
 
-// Run keeps the version up to date until the context ends.
+// Run keeps the version up to date until the context ends. Instances that watch the
+// store also delete the contents of old versions from it.
 func (k *Keeper) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return k.decide(ctx, group) })
 	group.Go(func() error { return k.watch(ctx) })
+	group.Go(func() error { return NewCollector(k.store, k.watching, k.log).Run(ctx) })
 	return group.Wait()
 }
 
--- a/serving/version/publication/keeper_test.go
+++ b/serving/version/publication/keeper_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -16,13 +17,23 @@
 type sharedStore struct {
 	mu    sync.Mutex
 	store *fakeStore
-	calls int
+}
+
+// countedStore counts the reads of one instance.
+type countedStore struct {
+	Store
+	gets atomic.Int64
+}
+
+// Get implements Store.
+func (s *countedStore) Get(ctx context.Context, key string) (platform.Entry, error) {
+	s.gets.Add(1)
+	return s.Store.Get(ctx, key)
 }
 
 func (s *sharedStore) Get(ctx context.Context, key string) (platform.Entry, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.calls++
 	return s.store.Get(ctx, key)
 }
 
@@ -68,6 +79,7 @@
 // TestKeepers publishes to three instances of which one watches the store; the others
 // learn of it from the first. One more starts while the store is down.
 func TestKeepers(t *testing.T) {
+	t.Parallel()
 	shared := &sharedStore{store: newFakeStore(first)}
 	keepers := map[string]*Keeper{}
 	of := func(address string) *Keeper { return keepers[address] }
@@ -76,8 +88,10 @@
 	defer running.Wait()
 	defer cancel()
 	names := []string{"a", "b", "c", "d"}
+	counted := map[string]*countedStore{}
 	for _, name := range names {
-		keepers[name] = NewKeeper(shared, &localPeers{names, of}, func() bool { return name == "a" }, quiet())
+		counted[name] = &countedStore{Store: shared}
+		keepers[name] = NewKeeper(counted[name], &localPeers{names, of}, func() bool { return name == "a" }, quiet())
 	}
 	a, b, c, d := keepers["a"], keepers["b"], keepers["c"], keepers["d"]
 	for _, keeper := range []*Keeper{a, b, c} {
@@ -88,6 +102,7 @@
 		c.Offer("b", b.HeadOf().Version, "")
 	}
 	publisher := NewPublisher(shared, a, quiet())
+	reads := int64(0)
 	for version := range uint64(3) {
 		request := Request{ID: NewID(version + 1), Operator: "ann", Files: map[string][]byte{"f": testFile("a", int(version))}}
 		_, err := publisher.Publish(ctx, request)
@@ -97,7 +112,15 @@
 			return c.HeadOf().Version == version+1 && b.HeadOf().Version == version+1
 		}
 		require.Eventually(t, reached, 8*time.Second, 20*time.Millisecond)
+		if version == 0 {
+			reads = counted["b"].gets.Load() + counted["c"].gets.Load()
+		}
+	}
+	for range 25 {
+		exchange()
+		time.Sleep(100 * time.Millisecond)
 	}
+	require.Equal(t, reads, counted["b"].gets.Load()+counted["c"].gets.Load(), "instances that do not watch leave the store alone")
 	file, ok := c.Service("a")
 	require.True(t, ok)
 	require.Equal(t, 2, file.Accounts[0].Priority)
@@ -124,6 +147,7 @@
 
 // TestKeeperWithoutSourcesIsNotReady starts an instance with neither store nor peers.
 func TestKeeperWithoutSourcesIsNotReady(t *testing.T) {
+	t.Parallel()
 	shared := &sharedStore{store: newFakeStore(first)}
 	shared.store.down = true
 	ctx, cancel := context.WithTimeout(context.Background(), startTimeout+time.Second)
