Carry sums and rosters between entries by pull, in a bounded budget

Now a request names the records held and the reply brings newer ones; every third round goes to the member that sums up one's use; sums and rosters of failure domains travel between domains, the rest within one; a record cut later wins, and a speaker that hears another one for the same repeats its record. Above 32 entries the use of backend servers is left to their own load reports.

--- a/serving/process/membership/leaving.go
+++ b/serving/process/membership/leaving.go
@@ -106,18 +106,19 @@
 	t.pushes = false
 	message := t.empty(false)
 	message.Push = true
-	size := baseBytes + t.self.size()
+	size := message.headSize()
 	for _, state := range t.leavingBySent(true) {
 		if state.pushed {
 			continue
 		}
-		size += leavingBytes + len(state.Instance)
+		record := state.record(now)
+		size += record.size()
 		if size > pushBytes {
 			t.pushes = true
 			break
 		}
 		state.pushed = true
-		message.Leaving = append(message.Leaving, state.record(now))
+		message.Leaving = append(message.Leaving, record)
 	}
 	var exchanges []Exchange
 	for _, address := range t.pushTargets(now) {
--- a/serving/process/membership/members.go
+++ b/serving/process/membership/members.go
@@ -16,6 +16,9 @@
 	Heard time.Time
 }
 
+// beatStride is the advance of a heartbeat count that is worth passing on, in seconds.
+const beatStride = 2
+
 type member struct {
 	Member
 	name      uint64
@@ -26,6 +29,8 @@
 	learnt    time.Time
 	heard     time.Time
 	failed    time.Time
+	config    uint64 // its configuration version
+	beaten    uint32 // the count that is passed on
 	beatsSent int
 	fullSent  int
 }
@@ -38,7 +43,10 @@
 	m.count = count
 	m.draining = draining
 	m.heard = now
-	m.beatsSent = 0
+	if count >= m.beaten+beatStride || draining {
+		m.beaten = count
+		m.beatsSent = 0
+	}
 }
 
 // learn adds a member or a newer incarnation of it. It returns nil for an incarnation
@@ -58,9 +66,14 @@
 	if known != nil {
 		t.drop(known)
 	}
-	added := &member{Member: m, name: incarnationName(m.Instance, m.Incarnation), memberID: m.id(), learnt: now, listed: listed}
+	added := &member{
+		Member: m, name: incarnationName(m.Instance, m.Incarnation), memberID: m.id(),
+		learnt: now, listed: listed, fullSent: relays,
+	}
 	t.members[m.Instance] = added
 	t.byID[added.memberID] = added
+	place, _ := slices.BinarySearchFunc(t.sorted, m.Instance, byInstance)
+	t.sorted = slices.Insert(t.sorted, place, added)
 	return added
 }
 
@@ -68,6 +81,9 @@
 func (t *Table) drop(m *member) {
 	delete(t.members, m.Instance)
 	delete(t.byID, m.memberID)
+	if place, found := slices.BinarySearchFunc(t.sorted, m.Instance, byInstance); found {
+		t.sorted = slices.Delete(t.sorted, place, place+1)
+	}
 	for key := range t.uses {
 		if key.level == OriginLevel && key.speaker == m.memberID {
 			delete(t.uses, key)
@@ -76,11 +92,48 @@
 }
 
 func (t *Table) hearBeat(now time.Time, beat Beat) {
-	if m := t.byID[beat.ID]; m != nil {
-		m.hear(now, beat.Count, beat.Draining)
+	m := t.byID[beat.ID]
+	if m == nil {
+		t.wants = true
+		return
+	}
+	m.hear(now, beat.Count, beat.Draining)
+}
+
+// hearRoster takes the members of another failure domain for live at the time that the
+// roster was made.
+func (t *Table) hearRoster(made time.Time, roster *Use) {
+	for _, id := range roster.Live {
+		m := t.byID[id]
+		if m == nil {
+			t.wants = true
+			continue
+		}
+		if made.After(m.heard) {
+			m.heard = made
+			m.draining = slices.Contains(roster.Draining, id)
+		}
 	}
 }
 
+// roster names the live members of this failure domain.
+func (t *Table) roster(now time.Time) Use {
+	use := Use{Level: RosterLevel, Domain: t.domain, Live: []uint32{t.id}}
+	if t.local.Draining {
+		use.Draining = append(use.Draining, t.id)
+	}
+	for _, m := range t.sorted {
+		if !t.home(m) || !t.live(now, m) {
+			continue
+		}
+		use.Live = append(use.Live, m.memberID)
+		if m.draining {
+			use.Draining = append(use.Draining, m.memberID)
+		}
+	}
+	return use
+}
+
 func (t *Table) home(m *member) bool {
 	return m.FailureDomain == t.self.FailureDomain && m.Region == t.self.Region
 }
@@ -97,7 +150,7 @@
 
 // forget drops members and records that are long gone.
 func (t *Table) forget(now time.Time) {
-	for _, m := range t.sorted() {
+	for _, m := range slices.Clone(t.sorted) {
 		last := m.heard
 		if last.IsZero() {
 			last = m.learnt
@@ -110,22 +163,14 @@
 	t.pruneUses(now)
 }
 
-// sorted returns the members by instance, so that runs with one seed are alike.
-func (t *Table) sorted() []*member {
-	all := make([]*member, 0, len(t.members))
-	for _, m := range t.members {
-		all = append(all, m)
-	}
-	slices.SortFunc(all, func(a, b *member) int { return strings.Compare(a.Instance, b.Instance) })
-	return all
-}
+func byInstance(m *member, instance string) int { return strings.Compare(m.Instance, instance) }
 
 // Members returns all known members without this instance, sorted by instance.
 func (t *Table) Members(now time.Time) []Status {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	all := make([]Status, 0, len(t.members))
-	for _, m := range t.sorted() {
+	for _, m := range t.sorted {
 		all = append(all, Status{
 			Member:   m.Member,
 			Live:     t.live(now, m),
--- a/serving/process/membership/message.go
+++ b/serving/process/membership/message.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"math"
 	"strconv"
 	"time"
 
@@ -32,9 +33,9 @@
 type Config struct {
 	Version uint64 `cbor:"1,keyasint"`
 	// ManifestHash names the manifest of the version.
-	ManifestHash string `cbor:"2,keyasint"`
+	ManifestHash string `cbor:"2,keyasint,omitempty"`
 	// Address is the peer address of an entry instance that has it in force.
-	Address string `cbor:"3,keyasint"`
+	Address string `cbor:"3,keyasint,omitempty"`
 }
 
 // Message is what two entry instances exchange. Times travel as ages and remaining
@@ -46,15 +47,20 @@
 	// Reply marks the answer to a message; it is not answered again.
 	Reply bool `cbor:"3,keyasint,omitempty"`
 	// Push marks a message that carries only leaving instances.
-	Push     bool   `cbor:"4,keyasint,omitempty"`
-	Draining bool   `cbor:"5,keyasint,omitempty"`
-	Config   Config `cbor:"6,keyasint"`
+	Push     bool `cbor:"4,keyasint,omitempty"`
+	Draining bool `cbor:"5,keyasint,omitempty"`
+	// Config lacks all but the version for a peer that has this version or a higher one.
+	Config Config `cbor:"6,keyasint"`
 	// LeavingDigest is the exclusive or of the names of the sender's leaving set.
 	LeavingDigest uint64          `cbor:"7,keyasint"`
 	Leaving       []LeavingRecord `cbor:"8,keyasint,omitempty"`
 	Members       []Member        `cbor:"9,keyasint,omitempty"`
 	Beats         []Beat          `cbor:"10,keyasint,omitempty"`
 	Uses          []Use           `cbor:"11,keyasint,omitempty"`
+	// Have names the records of use that the sender has; the reply brings newer ones.
+	Have []Have `cbor:"13,keyasint,omitempty"`
+	// Wants asks for members, because the sender heard of some that it can't name.
+	Wants bool `cbor:"12,keyasint,omitempty"`
 }
 
 // LeavingRecord is a Leaving on the wire.
@@ -75,6 +81,14 @@
 	Draining bool
 }
 
+// Have names a record of use and its age.
+type Have struct {
+	_   struct{} `cbor:",toarray"`
+	Key uint32
+	// Age is in tenths of a second.
+	Age uint32
+}
+
 // Levels of a Use.
 const (
 	// OriginLevel is the use of one entry instance, kept within its cell.
@@ -83,6 +97,8 @@
 	CellLevel
 	// DomainLevel is the sum over a failure domain, kept everywhere.
 	DomainLevel
+	// RosterLevel names the live members of a failure domain, kept everywhere.
+	RosterLevel
 )
 
 // Use is one part of the work of an entry instance, a cell or a failure domain.
@@ -101,6 +117,8 @@
 	Parts, Part uint16
 	Backends    []BackendSum
 	Accounts    []AccountSum
+	// Live and Draining name members, at RosterLevel only.
+	Live, Draining []uint32
 }
 
 // BackendSum is a BackendUse on the wire.
@@ -120,23 +138,45 @@
 	DeciRequests, Tokens, InFlight uint32
 }
 
-// Upper bounds of encoded sizes in bytes, for filling messages.
+// Sizes in bytes of what stands around the variable parts of encoded messages.
 const (
-	baseBytes       = 64
-	memberBytes     = 24
-	leavingBytes    = 22
-	beatBytes       = 12
-	useBytes        = 40
-	backendSumBytes = 16
-	accountSumBytes = 21
+	baseBytes   = 48
+	memberBytes = 24
+	beatBytes   = 11
+	useBytes    = 30
+	haveBytes   = 8
 )
 
+// intBytes returns the encoded size of an integer.
+func intBytes(v uint32) int {
+	switch {
+	case v < 24:
+		return 1
+	case v <= math.MaxUint8:
+		return 2
+	case v <= math.MaxUint16:
+		return 3
+	}
+	return 5
+}
+
 func (m Member) size() int {
 	return memberBytes + len(m.Instance) + len(m.Region) + len(m.FailureDomain) + len(m.PeerAddress) + len(m.CallerAddress)
 }
 
+func (c Config) size() int { return 12 + len(c.ManifestHash) + len(c.Address) }
+
+func (r LeavingRecord) size() int { return 20 + len(r.Instance) }
+
 func (u *Use) size() int {
-	return useBytes + backendSumBytes*len(u.Backends) + accountSumBytes*len(u.Accounts)
+	size := useBytes + 5*(len(u.Live)+len(u.Draining))
+	for _, b := range u.Backends {
+		size += 1 + intBytes(b.ID) + intBytes(b.InFlight) + intBytes(b.PrefillTokens)
+	}
+	for _, a := range u.Accounts {
+		size += 1 + intBytes(a.ID) + intBytes(a.DeciRequests) + intBytes(a.Tokens) + intBytes(a.InFlight)
+	}
+	return size
 }
 
 // incarnationName names one incarnation of an instance.
--- a/serving/process/membership/network_test.go
+++ b/serving/process/membership/network_test.go
@@ -36,6 +36,7 @@
 	heard  map[string]bool
 	config uint64
 	bytes  int64
+	local  membership.Local
 }
 
 type delivery struct {
--- a/serving/process/membership/round.go
+++ b/serving/process/membership/round.go
@@ -27,7 +27,7 @@
 
 // reachable returns the members worth an exchange, in this failure domain and elsewhere.
 func (t *Table) reachable(now time.Time) (home, away []*member) {
-	for _, m := range t.sorted() {
+	for _, m := range t.sorted {
 		if !t.reachableNow(now, m) {
 			continue
 		}
@@ -63,18 +63,30 @@
 // round starts the exchanges of one period.
 func (t *Table) round(now time.Time) []Exchange {
 	home, away := t.reachable(now)
+	up, level := t.upstream(now)
+	if up != nil && t.count%upstreamRounds == 0 {
+		home = []*member{up}
+	}
 	chosen := t.sample(home, homeExchanges)
-	chosen = append(chosen, t.sample(away, awayExchanges)...)
+	aways := awayExchanges
+	if t.small() {
+		aways = smallAwayExchanges
+	}
+	chosen = append(chosen, t.sample(away, aways)...)
 	if !now.Before(t.nextProbe) {
 		t.nextProbe = now.Add(probePeriod)
 		chosen = append(chosen, t.probes(now)...)
 	}
 	var exchanges []Exchange
 	for _, m := range chosen {
-		exchanges = append(exchanges, Exchange{Address: m.PeerAddress, Message: t.compose(now, m, false, false)})
+		message := t.compose(now, m, nil)
+		if m == up {
+			t.sent.take(t.addOwn(now, &message, level, 0, t.message))
+		}
+		exchanges = append(exchanges, Exchange{Address: m.PeerAddress, Message: message})
 	}
 	if address := t.seed(now, len(chosen) == 0); address != "" {
-		exchanges = append(exchanges, Exchange{Address: address, Message: t.compose(now, nil, false, false)})
+		exchanges = append(exchanges, Exchange{Address: address, Message: t.compose(now, nil, nil)})
 	}
 	return exchanges
 }
@@ -82,7 +94,7 @@
 // probes draws silent members, one here and one elsewhere, to find out when a cut heals.
 func (t *Table) probes(now time.Time) []*member {
 	var home, away []*member
-	for _, m := range t.sorted() {
+	for _, m := range t.sorted {
 		if t.reachableNow(now, m) {
 			continue
 		}
@@ -122,46 +134,60 @@
 	}
 }
 
-// compose fills a message for a peer, the most urgent records first, within the budget.
-// A differing peer gets leaving records again that were passed on often enough.
-func (t *Table) compose(now time.Time, to *member, differs, reply bool) Message {
-	m := t.empty(reply)
-	size := baseBytes + t.self.size() + len(t.config.ManifestHash) + len(t.config.Address)
-	limit := max(size+leastBytes, min(t.message, t.sent.allow(now, float64(t.budget)/2)))
-	size = t.addLeavingRecords(now, &m, size, limit, differs)
-	size = t.addMembers(now, &m, size, size+(limit-size)/2)
-	size = t.addBeats(now, &m, size, size+(limit-size)/2)
-	size = t.addUses(now, &m, to, size, limit)
+// headSize returns the encoded size of a message without records.
+func (m *Message) headSize() int { return baseBytes + m.From.size() + m.Config.size() }
+
+// compose fills a message for a peer, or the reply to one, within the budget. A peer
+// whose leaving set differs gets records again that were passed on often enough.
+func (t *Table) compose(now time.Time, to *member, asked *Message) Message {
+	m := t.empty(asked != nil)
+	if to != nil && to.config >= t.config.Version {
+		m.Config = Config{Version: t.config.Version}
+	}
+	size := m.headSize()
+	limit := t.message
+	if asked != nil {
+		limit = t.message * 3 / 2 // requests are smaller
+	}
+	limit = max(size+leastBytes, min(limit, t.sent.allow(now, float64(t.budget)/2)))
+	size = t.addLeavingRecords(now, &m, size, limit, asked != nil && asked.LeavingDigest != t.digest)
+	size = t.addMembers(now, &m, size, size+(limit-size)/3)
+	if to == nil || t.home(to) {
+		size = t.addBeats(now, &m, size, size+(limit-size)/3)
+	}
+	if asked != nil {
+		size = t.addUses(now, &m, to, asked.Have, size, limit)
+	} else {
+		m.Wants, t.wants = t.wants, false
+		size = t.addHave(now, &m, to, size)
+	}
 	t.sent.take(size)
 	return m
 }
 
 func (t *Table) addLeavingRecords(now time.Time, m *Message, size, limit int, all bool) int {
 	for _, state := range t.leavingBySent(all) {
-		next := size + leavingBytes + len(state.Instance)
-		if next > limit {
+		record := state.record(now)
+		if size+record.size() > limit {
 			break
 		}
-		size = next
+		size += record.size()
 		state.sent++
-		m.Leaving = append(m.Leaving, state.record(now))
+		m.Leaving = append(m.Leaving, record)
 	}
 	return size
 }
 
+// addBeats adds heartbeats of this failure domain, the least sent first.
 func (t *Table) addBeats(now time.Time, m *Message, size, limit int) int {
 	var fresh []*member
-	for _, other := range t.sorted() {
-		if other.beatsSent < relays && t.live(now, other) {
+	for _, other := range t.sorted {
+		if other.beatsSent < relays && t.home(other) && t.live(now, other) {
 			fresh = append(fresh, other)
 		}
 	}
-	slices.SortStableFunc(fresh, func(a, b *member) int {
-		if a.beatsSent != b.beatsSent {
-			return a.beatsSent - b.beatsSent
-		}
-		return b.heard.Compare(a.heard)
-	})
+	t.random.Shuffle(len(fresh), func(i, j int) { fresh[i], fresh[j] = fresh[j], fresh[i] })
+	slices.SortStableFunc(fresh, func(a, b *member) int { return a.beatsSent - b.beatsSent })
 	for _, other := range fresh {
 		if size+beatBytes > limit {
 			break
@@ -173,7 +199,7 @@
 	return size
 }
 
-// welcome adds random live members for a peer that was not known before.
+// welcome adds random live members for a peer that lacks some.
 func (t *Table) welcome(now time.Time, m *Message) {
 	home, away := t.reachable(now)
 	for _, other := range append(t.sample(home, welcomeMembers), t.sample(away, welcomeMembers)...) {
@@ -181,21 +207,12 @@
 	}
 }
 
-// addMembers adds members that few were told of, and one at random against losses.
+// addMembers adds members that came to this instance first.
 func (t *Table) addMembers(now time.Time, m *Message, size, limit int) int {
-	var live []*member
-	for _, other := range t.sorted() {
-		if t.live(now, other) {
-			live = append(live, other)
-		}
-	}
-	chosen := t.sample(live, 1)
-	for _, other := range live {
-		if other.fullSent < relays && !slices.Contains(chosen, other) {
-			chosen = append(chosen, other)
+	for _, other := range t.sorted {
+		if other.fullSent >= relays || !t.live(now, other) {
+			continue
 		}
-	}
-	for _, other := range chosen {
 		if size+other.size() > limit {
 			break
 		}
--- a/serving/process/membership/table.go
+++ b/serving/process/membership/table.go
@@ -18,8 +18,8 @@
 	DefaultBudget = 8 << 10
 	// homeSilence and awaySilence are the times without a sign of life after which a
 	// member of this failure domain, or of another, is no longer live.
-	homeSilence = 6 * time.Second
-	awaySilence = 15 * time.Second
+	homeSilence = 8 * time.Second
+	awaySilence = 30 * time.Second
 	// forgetAfter is the time after which a silent member that is not listed is dropped.
 	forgetAfter = 5 * time.Minute
 	// newcomerPeriod is how long a member without a sign of life is tried like a live one.
@@ -27,10 +27,15 @@
 	// welcomeMembers is the number of members here, and elsewhere, told to a new peer.
 	welcomeMembers = 6
 	// leastBytes is the room for records in a message when the budget is spent.
-	leastBytes = 250
-	// homeExchanges and awayExchanges are the exchanges started in a round.
-	homeExchanges = 2
-	awayExchanges = 1
+	leastBytes = 300
+	// homeExchanges and awayExchanges are the exchanges started in a round, and
+	// smallAwayExchanges those of a small fleet.
+	homeExchanges      = 1
+	awayExchanges      = 1
+	smallAwayExchanges = 2
+	// upstreamRounds is the number of rounds for each one that goes to the member that
+	// sums up the use of this one.
+	upstreamRounds = 3
 	// messagesPerSecond counts both directions of own and peers' exchanges.
 	messagesPerSecond = 4 * (homeExchanges + awayExchanges)
 	// probePeriod is the time between two tries to reach silent members.
@@ -74,6 +79,8 @@
 	count   uint32
 	members map[string]*member // by instance
 	byID    map[uint32]*member
+	sorted  []*member // by instance, so that runs with one seed are alike
+	cells   uint16    // in this failure domain, a power of two
 	leaving map[uint64]*leavingState
 	digest  uint64
 	uses    map[useKey]*useState
@@ -85,6 +92,7 @@
 	nextSeed  time.Time
 	nextPush  time.Time
 	pushes    bool
+	wants     bool // a beat or roster named an unknown member
 	seedTurn  int
 	sent      bucket
 }
@@ -104,6 +112,7 @@
 		leaving: make(map[uint64]*leavingState),
 		uses:    make(map[useKey]*useState),
 		names:   make(map[uint32]string),
+		cells:   1,
 	}
 	for _, address := range seeds {
 		if address != self.PeerAddress {
@@ -154,6 +163,7 @@
 	t.nextRound = now.Add(ExchangePeriod)
 	t.count++
 	t.forget(now)
+	t.cells = t.countCells()
 	t.issueUses(now)
 	return append(exchanges, t.round(now)...)
 }
@@ -166,10 +176,14 @@
 	if m.From.Instance == t.self.Instance {
 		return t.empty(true)
 	}
-	known := t.members[m.From.Instance] != nil
+	known := t.byID[m.From.id()] != nil
 	from := t.learn(now, m.From, false)
 	if from != nil {
+		if !known {
+			from.fullSent = 0
+		}
 		from.hear(now, m.Count, m.Draining)
+		from.config = m.Config.Version
 	}
 	for _, record := range m.Leaving {
 		t.addLeaving(now, record.leaving(now))
@@ -192,8 +206,8 @@
 		reply.Push = true
 		return reply
 	}
-	reply := t.compose(now, from, m.LeavingDigest != t.digest, true)
-	if !known {
+	reply := t.compose(now, from, &m)
+	if !known || m.Wants {
 		t.welcome(now, &reply)
 	}
 	return reply
@@ -259,7 +273,7 @@
 }
 
 func (t *Table) hearConfig(config Config) {
-	if config.Version <= t.config.Version {
+	if config.Version <= t.config.Version || config.Address == "" {
 		return
 	}
 	t.config = config
--- a/serving/process/membership/uses.go
+++ b/serving/process/membership/uses.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"math"
 	"math/bits"
-	"reflect"
 	"slices"
 	"time"
 )
@@ -12,13 +11,21 @@
 // Limits of use records.
 const (
 	// keepUses is how long a record counts after it was made.
-	keepUses = 15 * time.Second
+	keepUses = 40 * time.Second
 	// refreshUses is the longest time between two records of an unchanged part.
-	refreshUses = 5 * time.Second
+	refreshUses = 8 * time.Second
+	// newerBy is the least difference of ages that makes a record newer than another.
+	newerBy = 500 * time.Millisecond
+	// smallFleet is the number of entry instances up to which the use of backend servers
+	// is exchanged. Above it would arrive later than the servers' own load reports.
+	smallFleet = 32
+	// membersPerSecond is the number of entry instances for each second between two
+	// records of one whole, so that the records of a large fleet fit the budget.
+	membersPerSecond = 64
 	// cellMembers is the largest mean number of members in a cell.
 	cellMembers = 12
 	// partSubjects is the largest mean number of backend servers and accounts in a part.
-	partSubjects = 16
+	partSubjects = 40
 )
 
 // useKey names a part. Speaker is set at the origin level only.
@@ -33,7 +40,8 @@
 type useState struct {
 	use  Use
 	made time.Time
-	sent int
+	// disputed tells that another instance spoke for the same at about this time.
+	disputed bool
 }
 
 type sums struct {
@@ -74,9 +82,9 @@
 	return key
 }
 
-// cells returns the number of cells in this failure domain, a power of two that follows
-// the number of members.
-func (t *Table) cells() uint16 {
+// countCells returns the number of cells in this failure domain. It follows the number
+// of members heard of, so that all members come to the same.
+func (t *Table) countCells() uint16 {
 	members := 1
 	for _, m := range t.members {
 		if t.home(m) && !m.heard.IsZero() {
@@ -89,10 +97,16 @@
 
 func cell(id uint32, cells uint16) uint16 { return uint16(id>>8) & (cells - 1) }
 
+func (t *Table) small() bool { return len(t.members) < smallFleet }
+
 // localSums returns the use of this instance.
 func (t *Table) localSums() *sums {
 	s := newSums()
-	for _, b := range t.local.Backends {
+	backends := t.local.Backends
+	if !t.small() {
+		backends = nil
+	}
+	for _, b := range backends {
 		id := subject(b.Backend)
 		s.backends[id] = BackendSum{ID: id, InFlight: whole(float64(b.InFlight)), PrefillTokens: whole(float64(b.PrefillTokens))}
 	}
@@ -114,29 +128,47 @@
 
 // issueUses makes the records that this instance speaks for.
 func (t *Table) issueUses(now time.Time) {
-	cells := t.cells()
-	own := cell(t.id, cells)
+	period := uint32(1 + len(t.members)/membersPerSecond)
+	if (t.count+t.id)%period != 0 {
+		return
+	}
+	own := cell(t.id, t.cells)
 	local := t.localSums()
-	t.issue(now, Use{Level: OriginLevel, Domain: t.domain, Cells: cells, Cell: own}, local)
+	t.issue(now, Use{Level: OriginLevel, Domain: t.domain, Cells: t.cells, Cell: own}, local)
 	inCell := t.sumCell(now, local)
-	if cells > 1 && t.speaks(now, func(m *member) bool { return cell(m.memberID, cells) == own }) {
-		t.issue(now, Use{Level: CellLevel, Domain: t.domain, Cells: cells, Cell: own}, inCell)
+	if t.cells > 1 && t.speaker(now, func(m *member) bool { return cell(m.memberID, t.cells) == own }) == nil {
+		t.issue(now, Use{Level: CellLevel, Domain: t.domain, Cells: t.cells, Cell: own}, inCell)
 	}
-	if t.speaks(now, func(*member) bool { return true }) {
-		t.sumOtherCells(now, cells, own, inCell)
-		t.issue(now, Use{Level: DomainLevel, Domain: t.domain, Cells: cells}, inCell)
+	if t.speaker(now, func(*member) bool { return true }) == nil {
+		t.sumOtherCells(now, inCell)
+		t.issue(now, Use{Level: DomainLevel, Domain: t.domain, Cells: t.cells}, inCell)
+		roster := t.roster(now)
+		roster.Speaker, roster.Sequence, roster.Parts = t.id, t.count, 1
+		t.store(now, roster)
 	}
 }
 
-// speaks tells whether this instance has the lowest name of the live members of its
-// failure domain that match.
-func (t *Table) speaks(now time.Time, matches func(*member) bool) bool {
-	for _, m := range t.members {
-		if m.memberID < t.id && t.home(m) && t.live(now, m) && matches(m) {
-			return false
+// upstream returns the member that sums up what this instance speaks for, and the level
+// of the records to give it: the speaker of the cell for a member of it, the speaker of
+// the failure domain for a speaker of a cell. Nil stands for this instance itself.
+func (t *Table) upstream(now time.Time) (*member, uint8) {
+	own := cell(t.id, t.cells)
+	if speaker := t.speaker(now, func(m *member) bool { return cell(m.memberID, t.cells) == own }); speaker != nil {
+		return speaker, OriginLevel
+	}
+	return t.speaker(now, func(*member) bool { return true }), CellLevel
+}
+
+// speaker returns the live member of this failure domain with the lowest name that
+// matches, nil when this instance has it.
+func (t *Table) speaker(now time.Time, matches func(*member) bool) *member {
+	var lowest *member
+	for _, m := range t.sorted {
+		if m.memberID < t.id && t.home(m) && t.live(now, m) && matches(m) && (lowest == nil || m.memberID < lowest.memberID) {
+			lowest = m
 		}
 	}
-	return true
+	return lowest
 }
 
 // sumCell adds the use of the live members of this cell.
@@ -159,9 +191,10 @@
 	return total
 }
 
-func (t *Table) sumOtherCells(now time.Time, cells, own uint16, total *sums) {
+func (t *Table) sumOtherCells(now time.Time, total *sums) {
+	own := cell(t.id, t.cells)
 	for key, state := range t.uses {
-		if key.level != CellLevel || key.domain != t.domain || key.cells != cells || key.cell == own {
+		if key.level != CellLevel || key.domain != t.domain || key.cells != t.cells || key.cell == own {
 			continue
 		}
 		if now.Sub(state.made) <= keepUses {
@@ -198,115 +231,44 @@
 func (t *Table) store(now time.Time, use Use) {
 	key := use.key()
 	known := t.uses[key]
-	if known != nil && known.use.Speaker == t.id && now.Sub(known.made) < refreshUses &&
-		reflect.DeepEqual(known.use.Backends, use.Backends) && reflect.DeepEqual(known.use.Accounts, use.Accounts) {
+	if known != nil && known.use.Speaker == t.id && !known.disputed && now.Sub(known.made) < refreshUses &&
+		known.use.sameContent(&use) {
 		return
 	}
 	t.replace(key, &useState{use: use, made: now})
 }
 
-// replace keeps a record and drops those of the same whole cut into other parts.
-func (t *Table) replace(key useKey, state *useState) {
-	if t.uses[key] == nil {
-		for other := range t.uses {
-			same := other
-			same.parts, same.part = key.parts, key.part
-			if same == key && other.parts != key.parts {
-				delete(t.uses, other)
-			}
-		}
-	}
-	t.uses[key] = state
+func (u *Use) sameContent(other *Use) bool {
+	return slices.Equal(u.Backends, other.Backends) && slices.Equal(u.Accounts, other.Accounts) &&
+		slices.Equal(u.Live, other.Live) && slices.Equal(u.Draining, other.Draining)
 }
 
-// hearUse takes in a record of another instance if it is of use here and newer.
-func (t *Table) hearUse(now time.Time, use Use) {
-	age := time.Duration(use.AgeMS) * time.Millisecond
-	if use.Speaker == t.id || age > keepUses || !t.wants(&use) {
-		return
-	}
-	key := use.key()
-	made := now.Add(-age)
-	if known := t.uses[key]; known != nil {
-		if known.use.Speaker == use.Speaker && known.use.Sequence >= use.Sequence {
-			return
-		}
-		if known.use.Speaker != use.Speaker && !made.After(known.made) {
-			return
-		}
-	}
-	t.replace(key, &useState{use: use, made: made})
+// whole returns the key without the parts.
+func (k useKey) whole() useKey {
+	k.parts, k.part = 0, 0
+	return k
 }
 
-// wants tells whether a record belongs to this cell, failure domain or everywhere.
-func (t *Table) wants(use *Use) bool {
-	switch use.Level {
-	case OriginLevel:
-		m := t.byID[use.Speaker]
-		cells := t.cells()
-		return m != nil && t.home(m) && cell(m.memberID, cells) == cell(t.id, cells)
-	case CellLevel:
-		return use.Domain == t.domain
-	default:
-		return use.Level == DomainLevel
-	}
-}
-
-func (t *Table) pruneUses(now time.Time) {
-	cells := t.cells()
-	for key, state := range t.uses {
-		stray := key.level == OriginLevel && cell(key.speaker, cells) != cell(t.id, cells)
-		if stray || now.Sub(state.made) > keepUses {
-			delete(t.uses, key)
+// cutLater tells whether the same whole was cut into other parts later.
+func (t *Table) cutLater(key useKey, made time.Time) bool {
+	for other, state := range t.uses {
+		if other.parts != key.parts && other.whole() == key.whole() && state.made.After(made) {
+			return true
 		}
 	}
+	return false
 }
 
-// addUses adds the records that the peer can use, least sent and newest first.
-func (t *Table) addUses(now time.Time, m *Message, to *member, size, limit int) int {
-	cells := t.cells()
-	var fresh []*useState
-	for key, state := range t.uses {
-		if state.sent < relays && now.Sub(state.made) <= keepUses && t.useful(key, to, cells) {
-			fresh = append(fresh, state)
-		}
-	}
-	slices.SortFunc(fresh, func(a, b *useState) int {
-		if a.sent != b.sent {
-			return a.sent - b.sent
-		}
-		if c := b.made.Compare(a.made); c != 0 {
-			return c
-		}
-		if a.use.Level != b.use.Level {
-			return int(b.use.Level) - int(a.use.Level)
-		}
-		if a.use.Speaker != b.use.Speaker {
-			return cmp.Compare(a.use.Speaker, b.use.Speaker)
-		}
-		return int(a.use.Part) - int(b.use.Part)
-	})
-	for _, state := range fresh {
-		if size+state.use.size() > limit {
-			continue
+// replace keeps a record and drops those of the same whole cut into other parts.
+func (t *Table) replace(key useKey, state *useState) {
+	if t.uses[key] == nil {
+		for other := range t.uses {
+			if other.parts != key.parts && other.whole() == key.whole() {
+				delete(t.uses, other)
+			}
 		}
-		size += state.use.size()
-		state.sent++
-		use := state.use
-		use.AgeMS = uint32(now.Sub(state.made).Milliseconds())
-		m.Uses = append(m.Uses, use)
-	}
-	return size
-}
-
-func (t *Table) useful(key useKey, to *member, cells uint16) bool {
-	if key.level == DomainLevel {
-		return true
-	}
-	if to == nil || !t.home(to) {
-		return false
 	}
-	return key.level == CellLevel || cell(to.memberID, cells) == cell(t.id, cells)
+	t.uses[key] = state
 }
 
 // Totals returns the use of all the other entry instances together, as far as heard of
@@ -320,9 +282,8 @@
 			totals.Entries++
 		}
 	}
-	cells := t.cells()
 	all := t.sumCell(now, newSums())
-	t.sumOtherCells(now, cells, cell(t.id, cells), all)
+	t.sumOtherCells(now, all)
 	for key, state := range t.uses {
 		if key.level == DomainLevel && key.domain != t.domain && now.Sub(state.made) <= keepUses {
 			all.add(&state.use)
