--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -170,7 +170,8 @@
 // InFlight returns the number of callers' requests that have no whole answer yet.
 func (g *Gateway) InFlight() int { return int(g.inFlight.Load()) }
 
-// Runs returns the number of model requests that are being answered here.
+// Runs returns the number of model requests that are being answered here, those that
+// other entry instances have taken over left out.
 func (g *Gateway) Runs() int { return g.runs.active() }
 
 // Tick lets queued requests go on. It is called every TickPeriod.
--- a/entry/gateway/generate.go
+++ b/entry/gateway/generate.go
@@ -150,8 +150,8 @@
 func (g *Gateway) attempt(ctx context.Context, r *run, choice route.Choice) (answer.End, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	a := &attempt{choice: choice, started: g.Clock(), cancel: cancel}
-	a.id = fmt.Sprintf("%s.%d", r.id, r.nextAttempt())
+	a := &attempt{choice: choice, started: g.Clock(), cancel: cancel, number: r.nextAttempt()}
+	a.id = fmt.Sprintf("%s.%d", r.id, a.number)
 	if !r.begin(a) {
 		return answer.End{}, errHandedOn
 	}
--- a/entry/gateway/meters.go
+++ b/entry/gateway/meters.go
@@ -68,5 +68,9 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`papayaport_attempt_results_total{service=%q,result=%q}`, service, resultNames[result])).Inc()
 	saved := end.Usage.CachedTokens
 	m.set.GetOrCreateCounter(fmt.Sprintf(`papayaport_tokens_saved_total{service=%q}`, service)).Add(saved)
-	m.set.GetOrCreateCounter(fmt.Sprintf(`papayaport_tokens_computed_total{service=%q}`, service)).Add(end.Usage.PromptTokens - saved)
+	computed := end.Usage.PromptTokens - saved
+	m.set.GetOrCreateCounter(fmt.Sprintf(`papayaport_tokens_computed_total{service=%q}`, service)).Add(computed)
+	if a.number > 1 {
+		m.set.GetOrCreateCounter(fmt.Sprintf(`papayaport_tokens_recomputed_total{service=%q}`, service)).Add(computed)
+	}
 }
--- a/entry/gateway/remote.go
+++ b/entry/gateway/remote.go
@@ -33,7 +33,7 @@
 	if err != nil {
 		return nil, false
 	}
-	fresh.handedTo = address
+	fresh.handedTo, fresh.away = address, true
 	held, added := g.runs.add(fresh)
 	if added {
 		go g.mirror(held)
@@ -156,7 +156,7 @@
 		return
 	}
 	r.mu.Lock()
-	r.handedTo = address
+	r.handedTo, r.away = address, true
 	r.current = nil
 	r.mu.Unlock()
 	g.Meters.handedOver(r.file.Name)
--- a/entry/gateway/runs.go
+++ b/entry/gateway/runs.go
@@ -49,6 +49,8 @@
 	current  *attempt
 	// handedTo is the peer address that holds the request now; empty while it is here.
 	handedTo string
+	// away tells that another entry instance has the request and its answer comes from there.
+	away bool
 	// target is the backend server that the next attempt should use.
 	target  string
 	readers int
@@ -59,7 +61,9 @@
 
 // attempt is one send of a run.
 type attempt struct {
-	id      string
+	id string
+	// number counts a run's attempts from 1, those at other entry instances included.
+	number  int
 	choice  route.Choice
 	started time.Time
 	cancel  context.CancelCauseFunc
@@ -159,6 +163,12 @@
 	return !r.ended.IsZero() && now.Sub(r.ended) > keepEnded
 }
 
+func (r *run) elsewhere() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.away
+}
+
 func (r *run) place() (*attempt, string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -219,7 +229,16 @@
 	return open
 }
 
-func (s *runs) active() int { return len(s.all()) }
+// active returns the number of runs that are being answered here.
+func (s *runs) active() int {
+	count := 0
+	for _, r := range s.all() {
+		if !r.elsewhere() {
+			count++
+		}
+	}
+	return count
+}
 
 const forgetPeriod = time.Second
 
