--- a/serving/request/answer/answer_test.go
+++ b/serving/request/answer/answer_test.go
@@ -68,7 +68,10 @@
 		}
 		begin()
 		faults := rapid.IntRange(0, 100).Draw(t, "faults")
-		for log.Ended() == nil {
+		for steps := 0; log.Ended() == nil; steps++ {
+			if steps > 10_000 {
+				t.Fatalf("no whole answer after %d steps", steps)
+			}
 			fault := rapid.SampledFrom([]string{"none", "move", "cross", "double"}).Draw(t, "fault")
 			if faults == 0 {
 				fault = "none"
