--- a/serving/request/action/bench_test.go
+++ b/serving/request/action/bench_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"papayaport.dev/serving/process/platform"
 )
 
 const (
@@ -121,3 +123,32 @@
 		})
 	}
 }
+
+// BenchmarkWritePerRequest is the alternative without pages: every claim and every
+// outcome is one write of its own key.
+func BenchmarkWritePerRequest(b *testing.B) {
+	for _, rate := range []int{10, 100, 1000} {
+		b.Run(fmt.Sprintf("rate=%d", rate), func(b *testing.B) {
+			s := &memoryStore{latency: benchStoreLatency, entries: map[string]platform.Entry{}}
+			count := min(b.N, 8*rate)
+			added := make([]time.Duration, count)
+			began := time.Now()
+			var group sync.WaitGroup
+			for i := range count {
+				time.Sleep(time.Until(began.Add(time.Duration(i) * time.Second / time.Duration(rate))))
+				group.Go(func() {
+					key, start := newClaim().Key, time.Now()
+					entry, _ := s.Put(context.Background(), key, make([]byte, 41), 0)
+					added[i] = time.Since(start)
+					_, _ = s.Put(context.Background(), key, make([]byte, 41), entry.Revision)
+				})
+			}
+			group.Wait()
+			slices.Sort(added)
+			b.ReportMetric(float64(s.puts.Load())/time.Since(began).Seconds(), "writes/s")
+			b.ReportMetric(float64(s.puts.Load())/float64(count), "writes/request")
+			b.ReportMetric(float64(added[count/2])/1e6, "p50-ms")
+			b.ReportMetric(float64(added[count*99/100])/1e6, "p99-ms")
+		})
+	}
+}
