Correct how the tests of Send were seen to fail

Seen now: with a rewindable body on a kept connection TestSendNeverRepeats and TestSendRunsOnce count 2 runs, and with a rewindable body and redirects allowed TestSendFollowsNoRedirect fails.

--- a/serving/connection/plain/repeat_test.go
+++ b/serving/connection/plain/repeat_test.go
@@ -52,7 +52,8 @@
 }
 
 // TestSendNeverRepeats sends what net/http would send again, after many requests on kept
-// connections to the same server.
+// connections to the same server. Two things guard against it, each alone enough: the
+// connection of its own, and the body that can't be rewound.
 func TestSendNeverRepeats(t *testing.T) {
 	for _, header := range []string{"Idempotency-Key", "X-Idempotency-Key"} {
 		t.Run(header, func(t *testing.T) {
