--- a/entry/gateway/move.go
+++ b/entry/gateway/move.go
@@ -105,13 +105,12 @@
 
 // input returns the leaving servers and the receivers, if a plan is due.
 func (m *mover) input(now time.Time) (reclaim.Input, bool) {
+	if !m.due(now) {
+		return reclaim.Input{}, false
+	}
 	used := m.use()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if len(m.leaving) == 0 || now.Sub(m.planned) < planPeriod {
-		return reclaim.Input{}, false
-	}
-	m.planned = now
 	var in reclaim.Input
 	for id, deadline := range m.leaving {
 		if _, leaving := m.gateway.Routes.IsLeaving(id); !leaving || now.Sub(deadline) > goneAfter {
@@ -128,6 +127,16 @@
 	return in, len(in.Leaving) > 0
 }
 
+func (m *mover) due(now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(m.leaving) == 0 || now.Sub(m.planned) < planPeriod {
+		return false
+	}
+	m.planned = now
+	return true
+}
+
 func (m *mover) use() map[string]int {
 	used := map[string]int{}
 	for _, use := range m.gateway.Routes.Use() {
