Repair leaving sets by naming what is held

Cause: with 183 notices at once at 380 entries some entries heard all of them only after 29 s, because a peer could not tell which ones were missing, and the first second cost the busiest 81 kB. An instance whose set differs now asks for what it lacks; large pushes go to three peers in place of seven.

Without the comparison of digests the healing test fails.

--- a/serving/process/membership/leaving.go
+++ b/serving/process/membership/leaving.go
@@ -10,13 +10,16 @@
 	// keepLeaving is how long a leaving incarnation is kept behind its deadline.
 	keepLeaving = 10 * time.Minute
 	// pushPeriod is the time between two pushes of newly heard leaving instances.
-	pushPeriod = 200 * time.Millisecond
-	// pushFanout is the number of peers that a push goes to.
-	pushFanout = 7
-	// homePushes is how many of them are in this failure domain, when there are enough others.
-	homePushes = 4
-	// pushBytes is the largest push in bytes.
-	pushBytes = 4 << 10
+	pushPeriod = 100 * time.Millisecond
+	// repairPeriod is the time between two repairs of a leaving set.
+	repairPeriod = 500 * time.Millisecond
+	// pushFanout is the number of peers that a push goes to, and largeFanout that of a
+	// push of more than largePush bytes.
+	pushFanout  = 7
+	largeFanout = 3
+	largePush   = 1 << 10
+	// pushBytes is the largest push or repair in bytes.
+	pushBytes = 8 << 10
 	// relays is how often a record is passed on after it was heard.
 	relays = 4
 )
@@ -120,17 +123,23 @@
 		state.pushed = true
 		message.Leaving = append(message.Leaving, record)
 	}
+	fanout := pushFanout
+	if size > largePush {
+		fanout = largeFanout
+	}
 	var exchanges []Exchange
-	for _, address := range t.pushTargets(now) {
+	for _, address := range t.pushTargets(now, fanout) {
 		exchanges = append(exchanges, Exchange{Address: address, Message: message})
+		t.sent.take(size)
 	}
 	return exchanges
 }
 
-func (t *Table) pushTargets(now time.Time) []string {
+// pushTargets draws peers, about half of them in this failure domain.
+func (t *Table) pushTargets(now time.Time, fanout int) []string {
 	home, away := t.reachable(now)
-	homes := min(len(home), max(homePushes, pushFanout-len(away)))
-	aways := min(len(away), pushFanout-homes)
+	homes := min(len(home), max((fanout+1)/2, fanout-len(away)))
+	aways := min(len(away), fanout-homes)
 	var addresses []string
 	for _, m := range append(t.sample(home, homes), t.sample(away, aways)...) {
 		addresses = append(addresses, m.PeerAddress)
@@ -141,6 +150,42 @@
 	return addresses
 }
 
+// noteDigest asks for a repair from a peer whose leaving set differs.
+func (t *Table) noteDigest(m *Message) {
+	if m.LeavingDigest != t.digest {
+		t.repairFrom = m.From.PeerAddress
+	}
+}
+
+// repair asks a peer for the leaving instances that are missing here.
+func (t *Table) repair(now time.Time) Exchange {
+	message := t.empty(false)
+	message.Repair = true
+	for _, state := range t.leavingBySent(true) {
+		message.LeavingHave = append(message.LeavingHave, uint32(state.name))
+	}
+	t.nextRepair = now.Add(repairPeriod)
+	address := t.repairFrom
+	t.repairFrom = ""
+	return Exchange{Address: address, Message: message}
+}
+
+// repaired answers a repair.
+func (t *Table) repaired(now time.Time, have []uint32) Message {
+	message := t.empty(true)
+	size := message.headSize()
+	for _, state := range t.leavingBySent(true) {
+		record := state.record(now)
+		if slices.Contains(have, uint32(state.name)) || size+record.size() > pushBytes {
+			continue
+		}
+		size += record.size()
+		message.Leaving = append(message.Leaving, record)
+	}
+	t.sent.take(size)
+	return message
+}
+
 // leavingBySent returns the leaving set, least sent first. Without all, those passed on
 // often enough are left out.
 func (t *Table) leavingBySent(all bool) []*leavingState {
--- a/serving/process/membership/message.go
+++ b/serving/process/membership/message.go
@@ -59,6 +59,9 @@
 	Uses          []Use           `cbor:"11,keyasint,omitempty"`
 	// Have names the records of use that the sender has; the reply brings newer ones.
 	Have []Have `cbor:"13,keyasint,omitempty"`
+	// Repair asks for the leaving instances that are not named by LeavingHave.
+	Repair      bool     `cbor:"14,keyasint,omitempty"`
+	LeavingHave []uint32 `cbor:"15,keyasint,omitempty"`
 	// Wants asks for members, because the sender heard of some that it can't name.
 	Wants bool `cbor:"12,keyasint,omitempty"`
 }
--- a/serving/process/membership/round.go
+++ b/serving/process/membership/round.go
@@ -5,6 +5,9 @@
 	"time"
 )
 
+// largestDebt is the largest debt of a bucket in bytes.
+const largestDebt = 8 << 10
+
 // bucket limits the bytes sent in a second.
 type bucket struct {
 	left float64
@@ -23,7 +26,8 @@
 	return int(b.left)
 }
 
-func (b *bucket) take(size int) { b.left -= float64(size) }
+// take spends bytes; a debt is paid off in a few seconds.
+func (b *bucket) take(size int) { b.left = max(b.left-float64(size), -largestDebt) }
 
 // reachable returns the members worth an exchange, in this failure domain and elsewhere.
 func (t *Table) reachable(now time.Time) (home, away []*member) {
@@ -64,7 +68,7 @@
 func (t *Table) round(now time.Time) []Exchange {
 	home, away := t.reachable(now)
 	up, level := t.upstream(now)
-	if up != nil && t.count%upstreamRounds == 0 {
+	if up != nil && (t.count+t.id)%t.upstreamPeriod() == 0 {
 		home = []*member{up}
 	}
 	chosen := t.sample(home, homeExchanges)
@@ -91,6 +95,19 @@
 	return exchanges
 }
 
+// upstreamPeriod returns the number of rounds between two exchanges with the member that
+// sums up. It grows with the number of members that have the same one.
+func (t *Table) upstreamPeriod() uint32 {
+	members := 0
+	for _, m := range t.sorted {
+		if t.home(m) {
+			members++
+		}
+	}
+	children := members/int(t.cells) + int(t.cells) - 1
+	return uint32(max(upstreamRounds, children/upstreamPerRound))
+}
+
 // probes draws silent members, one here and one elsewhere, to find out when a cut heals.
 func (t *Table) probes(now time.Time) []*member {
 	var home, away []*member
@@ -137,8 +154,7 @@
 // headSize returns the encoded size of a message without records.
 func (m *Message) headSize() int { return baseBytes + m.From.size() + m.Config.size() }
 
-// compose fills a message for a peer, or the reply to one, within the budget. A peer
-// whose leaving set differs gets records again that were passed on often enough.
+// compose fills a message for a peer, or the reply to one, within the budget.
 func (t *Table) compose(now time.Time, to *member, asked *Message) Message {
 	m := t.empty(asked != nil)
 	if to != nil && to.config >= t.config.Version {
@@ -148,9 +164,12 @@
 	limit := t.message
 	if asked != nil {
 		limit = t.message * 3 / 2 // requests are smaller
+		if len(asked.Uses) > 0 {
+			limit = t.message / 2 // one of many that are summed up here
+		}
 	}
 	limit = max(size+leastBytes, min(limit, t.sent.allow(now, float64(t.budget)/2)))
-	size = t.addLeavingRecords(now, &m, size, limit, asked != nil && asked.LeavingDigest != t.digest)
+	size = t.addLeavingRecords(now, &m, size, limit)
 	size = t.addMembers(now, &m, size, size+(limit-size)/3)
 	if to == nil || t.home(to) {
 		size = t.addBeats(now, &m, size, size+(limit-size)/3)
@@ -165,8 +184,8 @@
 	return m
 }
 
-func (t *Table) addLeavingRecords(now time.Time, m *Message, size, limit int, all bool) int {
-	for _, state := range t.leavingBySent(all) {
+func (t *Table) addLeavingRecords(now time.Time, m *Message, size, limit int) int {
+	for _, state := range t.leavingBySent(false) {
 		record := state.record(now)
 		if size+record.size() > limit {
 			break
--- a/serving/process/membership/table.go
+++ b/serving/process/membership/table.go
@@ -33,9 +33,11 @@
 	homeExchanges      = 1
 	awayExchanges      = 1
 	smallAwayExchanges = 2
-	// upstreamRounds is the number of rounds for each one that goes to the member that
-	// sums up the use of this one.
+	// upstreamRounds is the least number of rounds for each one that goes to the member
+	// that sums up the use of this one.
 	upstreamRounds = 3
+	// upstreamPerRound is the number of such exchanges that a member has in a round.
+	upstreamPerRound = 2
 	// messagesPerSecond counts both directions of own and peers' exchanges.
 	messagesPerSecond = 4 * (homeExchanges + awayExchanges)
 	// probePeriod is the time between two tries to reach silent members.
@@ -92,9 +94,12 @@
 	nextSeed  time.Time
 	nextPush  time.Time
 	pushes    bool
-	wants     bool // a beat or roster named an unknown member
-	seedTurn  int
-	sent      bucket
+	// repairFrom is the address of a peer whose leaving set differs.
+	repairFrom string
+	nextRepair time.Time
+	wants      bool // a beat or roster named an unknown member
+	seedTurn   int
+	sent       bucket
 }
 
 // New returns the table of one entry instance. Seeds are peer addresses to try first;
@@ -157,6 +162,9 @@
 	if t.pushes && !now.Before(t.nextPush) {
 		exchanges = t.push(now)
 	}
+	if t.repairFrom != "" && !now.Before(t.nextRepair) {
+		exchanges = append(exchanges, t.repair(now))
+	}
 	if now.Before(t.nextRound) {
 		return exchanges
 	}
@@ -188,6 +196,7 @@
 	for _, record := range m.Leaving {
 		t.addLeaving(now, record.leaving(now))
 	}
+	t.noteDigest(&m)
 	t.hearConfig(m.Config)
 	for _, other := range m.Members {
 		t.learn(now, other, false)
@@ -201,6 +210,9 @@
 	if m.Reply {
 		return Message{}
 	}
+	if m.Repair {
+		return t.repaired(now, m.LeavingHave)
+	}
 	if m.Push {
 		reply := t.empty(true)
 		reply.Push = true
