Keep cached prompts where they are and new ones on few servers

Estimates were corrected by a factor, so that one late answer of a nearly cached prompt made a server look ten times slower for all others; the error is a time now. Second questions left a filing's server for a busier, cheaper one: tokens that another server has cached count three times now, and an idle fleet's new prefixes have their homes on the cheapest servers that the present work needs, in an order that all entry instances share. An attempt without an estimate no longer counts as infinitely late.

--- a/serving/request/route/attempt.go
+++ b/serving/request/route/attempt.go
@@ -46,6 +46,7 @@
 	}
 	if t.parts.prefix {
 		b.group.known.storeAll(request.Blocks, b.column)
+		b.group.hit(a.sentAt, request.Blocks)
 	}
 }
 
@@ -72,7 +73,14 @@
 	a.start()
 	a.lastToken = at(now)
 	a.backend.health.progress = a.lastToken
-	a.backend.observed.add(a.lastToken, a.lastToken.since(a.sentAt), a.estimated)
+	a.observe(a.lastToken)
+}
+
+// observe compares the time to the first token with its estimate, if there was one.
+func (a *attempt) observe(now moment) {
+	if a.estimated > 0 {
+		a.backend.observed.add(now, now.since(a.sentAt), a.estimated)
+	}
 }
 
 // start ends the prefill of an attempt.
@@ -112,7 +120,7 @@
 	delete(t.attempts, id)
 	b, ended := a.backend, at(now)
 	if !a.started && result == OK {
-		b.observed.add(ended, ended.since(a.sentAt), a.estimated)
+		a.observe(ended)
 	}
 	a.start()
 	b.own.inFlight--
--- a/serving/request/route/backend.go
+++ b/serving/request/route/backend.go
@@ -1,10 +1,16 @@
 package route
 
 import (
+	"cmp"
+	"math"
+	"slices"
 	"time"
 
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
 	"papayaport.dev/serving/connection/engine"
 	"papayaport.dev/serving/process/membership"
+	"papayaport.dev/serving/request/prefix"
 )
 
 // moment is a time in nanoseconds since 1970. The estimates use it because every choice
@@ -39,6 +45,7 @@
 	own              use
 	unsettled        unsettled
 	observed         observed
+	work             work
 	health           health
 
 	Backend
@@ -66,6 +73,10 @@
 
 // report takes in a load report that describes a moment.
 func (b *backend) report(described moment, load engine.Load) {
+	if b.reported {
+		computed := time.Duration(float64(load.ComputedTotal-b.load.ComputedTotal) * b.speed.prefill)
+		b.work.add(described.since(b.reportedAt), computed, float64(load.Running)/float64(b.speed.slots))
+	}
 	b.load, b.reportedAt, b.reported = load, described, true
 	b.reportedInFlight = load.Running + load.Queued
 	b.reportedPrefill = load.PrefillTokens
@@ -79,16 +90,41 @@
 	b.peersAt = now
 }
 
+// work is how much of a server its requests take, as a mean over the last reports.
+type work struct {
+	// prefill is the share of the time that goes into prompts, slots the share of the slots.
+	prefill float64
+	slots   float64
+}
+
+// workTime is the time constant of the mean work.
+const workTime = 3 * time.Second
+
+// add takes in a report some time after the one before.
+func (w *work) add(passed, computed time.Duration, slots float64) {
+	if passed <= 0 {
+		return
+	}
+	weight := 1 - math.Exp(-passed.Seconds()/workTime.Seconds())
+	w.prefill += weight * (min(max(float64(computed)/float64(passed), 0), 1) - w.prefill)
+	w.slots += weight * (slots - w.slots)
+}
+
+// total returns the share of the server that is taken.
+func (w *work) total() float64 { return w.prefill + w.slots }
+
 // group is the backend servers of one service with the knowledge of their caches.
 type group struct {
+	// backends holds the servers, cheapest first.
 	backends []*backend
 	known    *knowledge
+	hot      *simplelru.LRU[prefix.Block, *hits]
 	columns  []*backend
 }
 
 // newGroup returns a service without backend servers.
 func newGroup() *group {
-	return &group{known: newKnowledge(maxBlocks)}
+	return &group{known: newKnowledge(maxBlocks), hot: newHot()}
 }
 
 // add gives a backend server a column.
@@ -107,6 +143,13 @@
 	g.known.grow(len(g.columns))
 }
 
+// sort puts the cheapest servers first, in the same order at all entry instances.
+func (g *group) sort() {
+	slices.SortFunc(g.backends, func(a, b *backend) int {
+		return cmp.Or(cmp.Compare(a.speed.price, b.speed.price), cmp.Compare(a.hash, b.hash))
+	})
+}
+
 // remove forgets a backend server and what was known of its cache.
 func (g *group) remove(b *backend) {
 	g.known.clear(b.column)
--- a/serving/request/route/estimate.go
+++ b/serving/request/route/estimate.go
@@ -120,11 +120,12 @@
 	uncached := max(q.request.PromptTokens-c.CachedTokens, 0)
 	decode := time.Duration(q.answerTokens) * c.BetweenTokens
 	waiting := b.estimatedPrefill(q.now, fresh, t.parts)
+	c.Work = b.work.total()
 	c.mean = b.speed.prefillTime(waiting+uncached) + c.BetweenTokens + b.trip
 	c.mean += slotWait(c.InFlight, b.speed.slots, decode)
 	c.FirstToken = c.mean
 	if t.parts.health {
-		c.FirstToken = b.observed.adjust(c.mean, q.spread) + b.stall(q.now)
+		c.FirstToken = b.observed.adjust(q.now, c.mean, q.spread) + b.stall(q.now)
 	}
 	sharers := min(c.InFlight+1, b.speed.slots)
 	c.Cost = b.speed.prefillCost(uncached) + float64(decode)/float64(sharers)*b.speed.price
--- a/serving/request/route/health.go
+++ b/serving/request/route/health.go
@@ -10,14 +10,11 @@
 	// Weights of a new observation when it is worse or better than expected.
 	worseWeight  = 0.3
 	betterWeight = 0.1
-	// ratioSlack is added to observed and estimated times before they are compared, so
-	// that tiny times don't give large ratios.
-	ratioSlack = 20 * time.Millisecond
-	// ratioHalfLife is the time in which a server without observations wins half of its
+	// firstDeviation is the mean absolute error of estimates before any observation.
+	firstDeviation = 20 * time.Millisecond
+	// errorHalfLife is the time in which a server without observations wins half of its
 	// reputation back.
-	ratioHalfLife = 10 * time.Second
-	maxRatio      = 50.0
-	minRatio      = 0.5
+	errorHalfLife = 10 * time.Second
 
 	// betweenWeight is the weight of a new time between tokens.
 	betweenWeight = 0.05
@@ -43,34 +40,34 @@
 
 // observed compares what a server did with what was estimated.
 type observed struct {
-	// ratio is the mean of observed over estimated time to first token; 0 means none yet.
-	ratio     float64
-	deviation float64
+	// late is the mean time by which first tokens came later than estimated.
+	late time.Duration
+	// deviation is the mean absolute difference from late.
+	deviation time.Duration
 	at        moment
 	between   time.Duration
 }
 
 // add takes in one time to first token.
 func (o *observed) add(now moment, seen, estimated time.Duration) {
-	ratio := float64(seen+ratioSlack) / float64(estimated+ratioSlack)
-	ratio = min(max(ratio, minRatio), maxRatio)
 	o.decay(now)
+	difference := seen - estimated - o.late
 	weight := betterWeight
-	if ratio > o.ratio {
+	if difference > 0 {
 		weight = worseWeight
 	}
-	o.deviation += weight * (math.Abs(ratio-o.ratio) - o.deviation)
-	o.ratio += weight * (ratio - o.ratio)
+	o.deviation += time.Duration(weight * float64(max(difference, -difference)-o.deviation))
+	o.late += time.Duration(weight * float64(difference))
 }
 
-// decay moves the ratio back towards 1 as time passes without observations.
+// decay moves the errors back towards those of a new server as time passes.
 func (o *observed) decay(now moment) {
-	if o.ratio == 0 {
-		o.ratio, o.at = 1, now
+	if o.at == 0 {
+		o.deviation, o.at = firstDeviation, now
 	}
-	kept := math.Exp2(-now.since(o.at).Seconds() / ratioHalfLife.Seconds())
-	o.ratio = 1 + (o.ratio-1)*kept
-	o.deviation *= kept
+	kept := math.Exp2(-now.since(o.at).Seconds() / errorHalfLife.Seconds())
+	o.late = time.Duration(float64(o.late) * kept)
+	o.deviation = firstDeviation + time.Duration(float64(o.deviation-firstDeviation)*kept)
 	o.at = now
 }
 
@@ -84,12 +81,14 @@
 }
 
 // adjust turns an estimate into one at the wanted number of standard deviations.
-func (o *observed) adjust(estimate time.Duration, spread float64) time.Duration {
-	if o.ratio == 0 {
-		return estimate
+func (o *observed) adjust(now moment, estimate time.Duration, spread float64) time.Duration {
+	late, deviation := time.Duration(0), firstDeviation
+	if o.at != 0 {
+		kept := math.Exp2(-now.since(o.at).Seconds() / errorHalfLife.Seconds())
+		late = time.Duration(float64(o.late) * kept)
+		deviation += time.Duration(float64(o.deviation-firstDeviation) * kept)
 	}
-	factor := o.ratio + spread*absoluteDeviation*o.deviation
-	adjusted := time.Duration(float64(estimate+ratioSlack)*factor) - ratioSlack
+	adjusted := estimate + late + time.Duration(spread*absoluteDeviation*float64(deviation))
 	return max(adjusted, estimate/2)
 }
 
--- a/serving/request/route/papayaport.go
+++ b/serving/request/route/papayaport.go
@@ -6,9 +6,21 @@
 )
 
 const (
-	// strayShare is the share of a prefix's computing cost that is added when the prefix
-	// is computed away from its home, because later prompts will look for it there.
-	strayShare = 0.5
+	// strayShare is the share of the cost of computing a prefix that no server has cached
+	// that is added away from its home, because later prompts will look for it there.
+	strayShare = 2
+	// recomputeShare is the share of the cost of computing tokens again that is added on
+	// top when another server has them cached, because a second copy takes cache from
+	// other prefixes and leads further prompts astray.
+	recomputeShare = 2
+	// homeWork is the work of a server up to which it is a home for new prefixes.
+	homeWork = 0.4
+	// spareHomes is the number of servers for which one more is a home, so that a burst of
+	// new prefixes finds room before reports tell of it.
+	spareHomes = 4
+	// headroom is the share of the latency target that estimates may use. The servers
+	// that are picked are those whose estimates err to the low side more often than not.
+	headroom = 0.6
 	// tieShare is the relative range of cost within which candidates count as equal, so
 	// that entry instances with the same knowledge do not all take the same server.
 	tieShare = 0.02
@@ -25,25 +37,27 @@
 func (p papayaport) Pick(candidates []Candidate, request *Request, random *rand.Rand) int {
 	home := -1
 	if p.home && len(request.Blocks) > 0 {
-		home = boundedHome(candidates)
+		home = boundedHome(candidates[:needed(candidates)])
 	}
+	best := mostCached(candidates)
 	cheapest, lowestCost := -1, 0.0
 	fastest, lowestTime := -1, 0.0
 	for i := range candidates {
 		c := &candidates[i]
-		stray := 0.0
+		lost := recomputeShare * float64(best-c.CachedTokens)
 		if home >= 0 && i != home {
-			stray = strayShare * float64(request.PromptTokens-c.CachedTokens)
+			lost += strayShare * float64(request.PromptTokens-best)
 		}
+		lost *= c.backend.speed.prefill
 		jitter := 1 + tieShare*random.Float64()
-		time := jitter * (float64(c.FirstToken) + stray*c.backend.speed.prefill)
+		time := jitter * (float64(c.FirstToken) + lost)
 		if fastest < 0 || time < lowestTime {
 			fastest, lowestTime = i, time
 		}
-		if !p.price || !meets(c, request) {
+		if !p.price || !meets(c, request, share(lost)) {
 			continue
 		}
-		cost := jitter * (c.Cost + stray*c.backend.speed.prefill*c.backend.speed.price)
+		cost := jitter * (c.Cost + lost*c.backend.speed.price)
 		if cheapest < 0 || cost < lowestCost {
 			cheapest, lowestCost = i, cost
 		}
@@ -54,10 +68,28 @@
 	return cheapest
 }
 
-// meets tells whether the candidate's estimates keep the request's latency target.
-func meets(c *Candidate, request *Request) bool {
+// mostCached returns the largest number of cached tokens at any candidate.
+func mostCached(candidates []Candidate) int {
+	most := 0
+	for i := range candidates {
+		most = max(most, candidates[i].CachedTokens)
+	}
+	return most
+}
+
+// share returns the share of the latency target that a candidate's estimates may use: all
+// of it where no cached work is lost.
+func share(lost float64) float64 {
+	if lost <= 0 {
+		return 1
+	}
+	return headroom
+}
+
+// meets tells whether the candidate's estimates keep a share of the request's latency target.
+func meets(c *Candidate, request *Request, share float64) bool {
 	target := request.Target
-	if target.FirstTokenMS > 0 && milliseconds(c.FirstToken) > target.FirstTokenMS {
+	if target.FirstTokenMS > 0 && milliseconds(c.FirstToken) > share*target.FirstTokenMS {
 		return false
 	}
 	return target.BetweenTokensMS <= 0 || milliseconds(c.BetweenTokens) <= target.BetweenTokensMS
@@ -68,6 +100,16 @@
 	return float64(d) / float64(time.Millisecond)
 }
 
+// needed returns how many servers, cheapest first, do all the present work. New prefixes
+// have their homes there, so that the others stay idle and entry instances still agree.
+func needed(candidates []Candidate) int {
+	total := 0.0
+	for i := range candidates {
+		total += candidates[i].Work
+	}
+	return min(int(total/homeWork)+1+len(candidates)/spareHomes, len(candidates))
+}
+
 // boundedHome returns the first candidate in rendezvous order that has a free slot, or
 // the home itself when none has. The load of a hot prefix so goes on to the same next
 // servers at all entry instances. The idea is consistent hashing with bounded loads
--- a/serving/request/route/policy.go
+++ b/serving/request/route/policy.go
@@ -18,7 +18,8 @@
 
 // Policy picks one of the candidates of a request.
 type Policy interface {
-	// Pick returns the index of the chosen candidate. The slice is never empty.
+	// Pick returns the index of the chosen candidate. The slice is never empty, and holds
+	// the cheapest servers first.
 	Pick(candidates []Candidate, request *Request, random *rand.Rand) int
 }
 
@@ -32,6 +33,8 @@
 	// FirstToken is the estimated time to the first token at the wanted quantile.
 	FirstToken time.Duration
 	mean       time.Duration
+	// Work is the share of the server that its requests take; see work.
+	Work float64
 	// BetweenTokens is the estimated time between tokens.
 	BetweenTokens time.Duration
 	// Cost is the price of the instance time taken, in dollars.
--- a/serving/request/route/table.go
+++ b/serving/request/route/table.go
@@ -77,6 +77,9 @@
 			t.unlist(now, b)
 		}
 	}
+	for _, g := range t.groups {
+		g.sort()
+	}
 	for id, mark := range t.leaving {
 		if !listed[id] && now.After(mark.deadline.Add(leavingMemory)) {
 			delete(t.leaving, id)
