Make the proofs of streams and answers able to fail

On a copy without repeated attempts the test of a kill during a reclaim passed: it looked for the receiving engine before any chat had moved, and killed none. It now waits for one. Chats whose entry stays no longer come back after a break, which had hidden the daemon's failures. A copy that accepts foreign chunks passed as well, since the stand-in changed their id but not their text; it changes both.

--- a/standin/engine/listener/completion.go
+++ b/standin/engine/listener/completion.go
@@ -166,11 +166,19 @@
 		chunk.Choices[0].FinishReason = "stop"
 	}
 	if a.faults.ForeignAttempt {
-		chunk.ID = "foreign-" + a.Attempt
+		a.cross(&chunk)
 	}
 	return chunk
 }
 
+// cross makes a chunk that of another attempt with another answer.
+func (a *answer) cross(chunk *wire.Chunk) {
+	chunk.ID = "foreign-" + a.Attempt
+	if chunk.Usage == nil {
+		chunk.Choices[0].Delta.Content = " foreign"
+	}
+}
+
 func (l *Listener) whole(w http.ResponseWriter, r *http.Request, a answer) {
 	var text strings.Builder
 	for sent := 0; ; sent++ {
--- a/standin/engine/listener/fault.go
+++ b/standin/engine/listener/fault.go
@@ -11,7 +11,7 @@
 type Faults struct {
 	// Nonsense sends events that are not JSON.
 	Nonsense bool `json:"nonsense"`
-	// ForeignAttempt names another attempt in every chunk.
+	// ForeignAttempt sends the chunks of another attempt with another answer.
 	ForeignAttempt bool `json:"foreign_attempt"`
 	// TruncateAfter ends a stream behind this number of tokens; 0 for never.
 	TruncateAfter int `json:"truncate_after"`
--- a/standin/launch/backend.go
+++ b/standin/launch/backend.go
@@ -54,7 +54,7 @@
 
 // backend describes a backend server, with a relay before it in a plan with links.
 func (s *System) backend(file service.File, domain string, number int) (*Process, error) {
-	addresses, err := freeAddresses(2)
+	addresses, err := s.addresses.take(2)
 	if err != nil {
 		return nil, err
 	}
--- a/standin/launch/entry.go
+++ b/standin/launch/entry.go
@@ -50,7 +50,7 @@
 
 // entry describes an entry instance.
 func (s *System) entry(index int) (*Process, error) {
-	addresses, err := freeAddresses(3)
+	addresses, err := s.addresses.take(3)
 	if err != nil {
 		return nil, err
 	}
@@ -130,7 +130,7 @@
 	if len(s.Entries) == 0 {
 		return nil
 	}
-	address, err := freeAddress()
+	address, err := s.addresses.one()
 	if err != nil {
 		return err
 	}
--- a/standin/launch/launch.go
+++ b/standin/launch/launch.go
@@ -90,12 +90,13 @@
 	// WorkDir holds settings, service files and logs.
 	WorkDir string
 
-	plan     Plan
-	http     *http.Client
-	starter  *starter
-	ownDir   bool
-	relays   []string
-	byDomain map[string]relayed
+	plan      Plan
+	http      *http.Client
+	starter   *starter
+	ownDir    bool
+	relays    []string
+	addresses *addresses
+	byDomain  map[string]relayed
 }
 
 // startTimeout bounds the time in which a process has to listen.
@@ -143,6 +144,7 @@
 		plan:          plan.withDefaults(),
 		http:          &http.Client{Timeout: 10 * time.Second},
 		starter:       newStarter(),
+		addresses:     newAddresses(),
 		Platform:      map[string]*Process{},
 		byDomain:      map[string]relayed{},
 		OperatorToken: "fixture-token-of-operator",
--- a/standin/launch/launch_test.go
+++ b/standin/launch/launch_test.go
@@ -141,3 +141,17 @@
 	state, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
 	return err != nil || strings.Contains(string(state), ") Z ")
 }
+
+func TestAddressesAreGivenOnce(t *testing.T) {
+	one, other := newAddresses(), newAddresses()
+	seen := map[string]bool{}
+	for range 300 {
+		address, err := one.one()
+		require.NoError(t, err)
+		require.False(t, seen[address])
+		seen[address] = true
+	}
+	taken, err := other.take(1)
+	require.NoError(t, err)
+	require.False(t, seen[taken[0]])
+}
--- a/standin/launch/platform.go
+++ b/standin/launch/platform.go
@@ -20,7 +20,7 @@
 const plainSlots = 64
 
 func (s *System) startPlatform(ctx context.Context) error {
-	addresses, err := freeAddresses(3)
+	addresses, err := s.addresses.take(3)
 	if err != nil {
 		return err
 	}
@@ -107,7 +107,7 @@
 	if !s.plan.Links {
 		return nil
 	}
-	control, err := freeAddress()
+	control, err := s.addresses.one()
 	if err != nil {
 		return err
 	}
@@ -131,7 +131,7 @@
 type relayed struct{ store, cloud string }
 
 func (s *System) domainRelays(domain string) ([]string, error) {
-	addresses, err := freeAddresses(2)
+	addresses, err := s.addresses.take(2)
 	if err != nil {
 		return nil, err
 	}
--- a/standin/proof/answer_test.go
+++ b/standin/proof/answer_test.go
@@ -103,7 +103,7 @@
 func TestStreamsSurviveSilentConnections(t *testing.T) {
 	t.Parallel()
 	ctx, s := start(t, launch.Plan{Tenants: []string{tenants.Rahmeh}, Domains: []string{"a", "b"}, Entries: 2, Links: true})
-	chats := stream(ctx, t, s, 6, 200)
+	chats := stream(ctx, t, s, once, 6, 200)
 	require.NoError(t, s.SetLink(ctx, link.Faults{Relay: "backend-*", Mode: link.Silent}))
 	chats.requireWhole(t)
 }
@@ -112,7 +112,7 @@
 func TestLateAnswersOfAWokenEngineAreDropped(t *testing.T) {
 	t.Parallel()
 	ctx, s := start(t, launch.Plan{Tenants: []string{tenants.Rahmeh}, Domains: []string{"a", "b"}, Entries: 2})
-	chats := stream(ctx, t, s, 6, 400)
+	chats := stream(ctx, t, s, once, 6, 400)
 	frozen := chats.busiest(ctx, t, s)
 	require.NoError(t, frozen.Freeze())
 	time.Sleep(3 * time.Second)
--- a/standin/proof/graceful_test.go
+++ b/standin/proof/graceful_test.go
@@ -35,7 +35,7 @@
 func TestDrainedEntryFinishesItsRequests(t *testing.T) {
 	t.Parallel()
 	ctx, s := start(t, launch.Plan{Tenants: []string{tenants.Rahmeh}, Domains: []string{"a", "b"}, Entries: 4})
-	chats := stream(ctx, t, s, 8, longAnswer)
+	chats := stream(ctx, t, s, once, 8, longAnswer)
 	requests := startLoad(ctx, t, s, loadWorkers)
 	out, err := s.Control(ctx, s.Entries[0], "drain")
 	require.NoError(t, err, string(out))
--- a/standin/proof/leaving_test.go
+++ b/standin/proof/leaving_test.go
@@ -91,7 +91,7 @@
 	require.NoError(t, p.Wait(ctx))
 	require.NoError(t, s.Restart(ctx, p))
 	restarted := time.Now()
-	chats := stream(ctx, t, s, 4, 32)
+	chats := stream(ctx, t, s, persist, 4, 32)
 	chats.requireWhole(t)
 	require.Less(t, time.Since(restarted), restartLimit)
 	require.Positive(t, chats.runningAt(ctx, t, s, p))
--- a/standin/proof/streams_test.go
+++ b/standin/proof/streams_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/google/uuid"
 	"github.com/stretchr/testify/require"
@@ -25,9 +26,17 @@
 	done    sync.WaitGroup
 }
 
-// stream starts chats that come back after every break, and returns when each of them
-// has its first token.
-func stream(ctx context.Context, t *testing.T, s *launch.System, count, maxTokens int) *streams {
+// ask sends a chat in one of two ways: Client.Chat once, or Client.Persist, which comes
+// back after every break.
+type ask func(*caller.Client, context.Context, caller.Chat) (caller.Answer, error)
+
+var (
+	once    ask = (*caller.Client).Chat
+	persist ask = (*caller.Client).Persist
+)
+
+// stream starts chats, and returns when each of them has its first token.
+func stream(ctx context.Context, t *testing.T, s *launch.System, send ask, count, maxTokens int) *streams {
 	t.Helper()
 	tenant := rahmeh(t)
 	out := &streams{
@@ -39,21 +48,21 @@
 	var flowing sync.WaitGroup
 	for i := range count {
 		id := uuid.NewString()
-		var once sync.Once
+		var first sync.Once
 		flowing.Add(1)
 		out.chats[i] = caller.Chat{
 			Service:   tenant.Model,
 			Messages:  question(id, text.CaseFile(uint64(i))),
 			MaxTokens: maxTokens,
 			RequestID: id,
-			Token:     func(int, string) { once.Do(flowing.Done) },
+			Token:     func(int, string) { first.Do(flowing.Done) },
 		}
 		out.done.Add(1)
 		go func() {
 			defer out.done.Done()
-			defer once.Do(flowing.Done)
+			defer first.Do(flowing.Done)
 			account := tenant.Accounts[i%len(tenant.Accounts)]
-			out.answers[i], out.errs[i] = fresh(s, account).Persist(ctx, out.chats[i])
+			out.answers[i], out.errs[i] = send(fresh(s, account), ctx, out.chats[i])
 		}()
 	}
 	flowing.Wait()
@@ -97,3 +106,18 @@
 	require.NotNil(t, found, fmt.Sprintf("none of %d chats runs anywhere", len(s.chats)))
 	return found
 }
+
+// receiver waits until another engine than from runs one of the chats, and returns it.
+func (s *streams) receiver(ctx context.Context, t *testing.T, system *launch.System, from *launch.Process) *launch.Process {
+	t.Helper()
+	var found *launch.Process
+	require.Eventually(t, func() bool {
+		for _, p := range system.Engines {
+			if p != from && s.runningAt(ctx, t, system, p) > 0 {
+				found = p
+			}
+		}
+		return found != nil
+	}, notice, 5*time.Millisecond, "no chat moves")
+	return found
+}
--- a/standin/proof/survive_test.go
+++ b/standin/proof/survive_test.go
@@ -23,7 +23,7 @@
 func TestStreamsSurviveReclaimOfTheirEngine(t *testing.T) {
 	t.Parallel()
 	ctx, s := start(t, launch.Plan{Tenants: []string{tenants.Rahmeh}, Domains: []string{"a", "b"}, Entries: 4})
-	chats := stream(ctx, t, s, 8, longAnswer)
+	chats := stream(ctx, t, s, once, 8, longAnswer)
 	from := chats.busiest(ctx, t, s)
 	require.NoError(t, s.Reclaim(ctx, cloud.Reclaim{Instances: []string{from.Instance.ID}, LeaveInMS: notice.Milliseconds()}))
 	chats.requireWhole(t)
@@ -36,7 +36,7 @@
 	t.Parallel()
 	ctx, s := start(t, launch.Plan{Tenants: []string{tenants.Rahmeh}, Entries: 8})
 	require.NoError(t, s.SetFaults(ctx, s.Cloud, cloud.Faults{RefuseStarts: true}))
-	chats := stream(ctx, t, s, 16, longAnswer)
+	chats := stream(ctx, t, s, persist, 16, longAnswer)
 	reclaimDomain(ctx, t, s, "a")
 	chats.requireWhole(t)
 }
@@ -60,15 +60,10 @@
 func TestStreamsSurviveAKillDuringAReclaim(t *testing.T) {
 	t.Parallel()
 	ctx, s := start(t, launch.Plan{Tenants: []string{tenants.Rahmeh}, Domains: []string{"a", "b", "c"}, Entries: 3})
-	chats := stream(ctx, t, s, 6, longAnswer)
+	chats := stream(ctx, t, s, once, 6, longAnswer)
 	from := chats.busiest(ctx, t, s)
 	require.NoError(t, s.Reclaim(ctx, cloud.Reclaim{Instances: []string{from.Instance.ID}, LeaveInMS: notice.Milliseconds()}))
-	for _, p := range s.Engines {
-		if p != from && chats.runningAt(ctx, t, s, p) > 0 {
-			require.NoError(t, p.Kill())
-			break
-		}
-	}
+	require.NoError(t, chats.receiver(ctx, t, s, from).Kill())
 	chats.requireWhole(t)
 }
 
@@ -78,7 +73,7 @@
 	ctx, s := start(t, launch.Plan{
 		Tenants: []string{tenants.Rahmeh}, Domains: []string{"a", "b"}, Entries: 4, StopGrace: time.Second,
 	})
-	chats := stream(ctx, t, s, 8, longAnswer)
+	chats := stream(ctx, t, s, persist, 8, longAnswer)
 	entry := s.Entries[0]
 	require.NoError(t, s.Reclaim(ctx, cloud.Reclaim{Instances: []string{entry.Instance.ID}, LeaveInMS: notice.Milliseconds()}))
 	require.NoError(t, entry.Terminate())
