Ask peers before the store when no version was offered for a while

Ruled out: offering the version with every message, which says nothing about a peer that has stopped fetching.

Without the question to peers TestLook fails (asks_a_peer, asks_a_second).

--- a/serving/version/publication/fetch.go
+++ b/serving/version/publication/fetch.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -17,9 +19,13 @@
 	watchPause = 50 * time.Millisecond
 	// idleInterval is how often an instance that does not watch looks whether it should.
 	idleInterval = 500 * time.Millisecond
-	// alonePeers is the silence of all peers after which an instance asks the store itself.
-	alonePeers = 5 * time.Second
-	// aloneInterval is the time between two such questions.
+	// quietPeers is how long nothing was offered when an instance asks peers itself.
+	quietPeers = 5 * time.Second
+	// askedPeers is the number of peers that are asked in turn before the store is.
+	askedPeers = 2
+	// askTimeout bounds the question to one peer.
+	askTimeout = time.Second
+	// aloneInterval is the time between two questions to the store without any peer.
 	aloneInterval = 2 * time.Second
 	// firstWatchBackoff and maxWatchBackoff bound the pause after a failed call.
 	firstWatchBackoff = 250 * time.Millisecond
@@ -79,7 +85,7 @@
 }
 
 // watch learns of new heads from the store while this instance is chosen to watch, or
-// hears no peer.
+// no peer answers.
 func (k *Keeper) watch(ctx context.Context) error {
 	var after uint64
 	backoff := firstWatchBackoff
@@ -105,15 +111,47 @@
 	switch {
 	case k.watching():
 		return watchPause, k.watchOnce(ctx, after)
-	case k.alone():
-		return jitter(aloneInterval), k.readOnce(ctx)
+	case !k.Started() || !k.quiet():
+		return idleInterval, nil
+	case k.askPeers(ctx):
+		return idleInterval, nil
 	}
-	return idleInterval, nil
+	k.log.Debug("publication: no peer answers, asking the key-value service")
+	return jitter(aloneInterval), k.readOnce(ctx)
 }
 
-// alone tells whether all peers were silent for a while, from the start on.
-func (k *Keeper) alone() bool {
-	return time.Since(unixTime(k.peersHeard.Load())) >= alonePeers
+// quiet tells whether no peer told its version for a while.
+func (k *Keeper) quiet() bool {
+	return time.Since(unixTime(k.peersHeard.Load())) >= quietPeers
+}
+
+// askPeers asks random peers for their head until one answers.
+func (k *Keeper) askPeers(ctx context.Context) bool {
+	addresses := slices.Clone(k.peers.Addresses())
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	for _, address := range addresses[:min(askedPeers, len(addresses))] {
+		if k.askPeer(ctx, address) {
+			return true
+		}
+	}
+	return false
+}
+
+func (k *Keeper) askPeer(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	data, err := k.peers.Head(ctx, address)
+	if err != nil {
+		k.log.WithError(err).WithField("source", address).Debug("publication: peer does not answer")
+		return false
+	}
+	head, err := DecodeHead(data)
+	if err != nil {
+		return false
+	}
+	k.peersHeard.Store(time.Now().UnixNano())
+	k.tell(Event{Kind: HeadReceived, Source: Source(address), Head: head})
+	return true
 }
 
 func (k *Keeper) watchOnce(ctx context.Context, after *uint64) error {
