--- a/serving/version/publication/simulation_test.go
+++ b/serving/version/publication/simulation_test.go
@@ -360,12 +360,6 @@
 	}
 }
 
-func quiet() *logrus.Logger {
-	log := logrus.New()
-	log.SetLevel(logrus.PanicLevel)
-	return log
-}
-
 // settled tells whether every instance has the latest version.
 func (w *world) settled() bool {
 	for _, a := range w.adopters {
--- a/serving/version/publication/store_test.go
+++ b/serving/version/publication/store_test.go
@@ -6,6 +6,8 @@
 	"strings"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"papayaport.dev/serving/process/platform"
 	"papayaport.dev/serving/process/platform/store"
 )
@@ -119,3 +121,9 @@
 	}
 	return platform.Entries{}, nil
 }
+
+func quiet() *logrus.Logger {
+	log := logrus.New()
+	log.SetLevel(logrus.PanicLevel)
+	return log
+}
