Claim through other members in a cut, and seal expired pages

Cause: pages were removed 10 min after their keys had expired, so a clock slow by more than that could have run a key again.

--- a/serving/request/action/members.go
+++ b/serving/request/action/members.go
@@ -59,12 +59,26 @@
 
 func (m *members) avoid(member Member, until time.Time) { m.avoided[member] = until }
 
-// writer returns the usual writer of a page: the member with the highest hash of page
-// and member (rendezvous hashing), without those that failed lately.
+// writer returns the usual writer of a page among the members that didn't fail lately, or
+// this one if all did.
 func (m *members) writer(now time.Time, page PageName) Member {
-	best, bestScore := m.self, score(page, m.self)
+	return m.highest(page, func(member Member) bool { return !now.Before(m.avoided[member]) })
+}
+
+// sweeper returns the member that removes a page.
+func (m *members) sweeper(page PageName) Member {
+	return m.highest(page, func(Member) bool { return true })
+}
+
+// highest returns the eligible member with the highest hash of page and member
+// (rendezvous hashing), or this one if none is eligible.
+func (m *members) highest(page PageName, eligible func(Member) bool) Member {
+	best, bestScore := m.self, uint64(0)
+	if eligible(m.self) {
+		bestScore = score(page, m.self)
+	}
 	for _, member := range m.others {
-		if now.Before(m.avoided[member]) {
+		if !eligible(member) {
 			continue
 		}
 		if s := score(page, member); s > bestScore {
--- a/serving/request/action/messages.go
+++ b/serving/request/action/messages.go
@@ -40,6 +40,8 @@
 	Unwritten
 	// Full means that the page can take no more claims.
 	Full
+	// Sealed means that all keys of the page have expired.
+	Sealed
 	// Finished gives the outcome of a claim.
 	Finished
 	// InProgress means that the claim has no outcome yet.
@@ -76,7 +78,11 @@
 	Claim uint64
 }
 
-// Delete removes an expired page. Its result doesn't matter.
+// Seal replaces an expired page, if it exists, by one that takes no claims. Its result
+// doesn't matter.
+type Seal struct{ Page PageName }
+
+// Delete removes a sealed page. Its result doesn't matter.
 type Delete struct{ Page PageName }
 
 // Call sends a query to a peer; answered by Table.CallDone.
@@ -102,6 +108,7 @@
 
 func (Swap) order()    {}
 func (Read) order()    {}
+func (Seal) order()    {}
 func (Delete) order()  {}
 func (Call) order()    {}
 func (Respond) order() {}
--- a/serving/request/action/model_test.go
+++ b/serving/request/action/model_test.go
@@ -38,4 +38,10 @@
 	return s.values[page]
 }
 
+func (s *modelStore) seal(page PageName) {
+	if current, found := s.values[page]; found {
+		s.swap(Swap{Page: page, Value: sealedPage(), IfRevision: current.Revision})
+	}
+}
+
 func (s *modelStore) remove(page PageName) { delete(s.values, page) }
--- a/serving/request/action/page.go
+++ b/serving/request/action/page.go
@@ -12,6 +12,20 @@
 type page struct {
 	Owners  []Member `cbor:"1,keyasint"`
 	Records []row    `cbor:"2,keyasint"`
+	// Sealed tells that all keys of the page have expired; it takes no claims.
+	Sealed bool `cbor:"3,keyasint,omitempty"`
+}
+
+// errSealed tells that a page takes no claims any more.
+var errSealed = errors.New("page is sealed")
+
+// sealedPage returns the stored form of a sealed page.
+func sealedPage() []byte {
+	data, err := cbor.Marshal(page{Sealed: true})
+	if err != nil {
+		panic(err) // a constant value is always encoded
+	}
+	return data
 }
 
 // row is the stored form of a record. Owner is an index into page.Owners.
@@ -56,7 +70,8 @@
 	return hashes
 }
 
-// decode reads the stored form of a page. No bytes are an empty page.
+// decode reads the stored form of a page. No bytes are an empty page. The error of a
+// sealed page is errSealed.
 func decode(data []byte) (records, error) {
 	if len(data) == 0 {
 		return records{}, nil
@@ -65,6 +80,9 @@
 	if err := cbor.Unmarshal(data, &stored); err != nil {
 		return nil, errors.Wrap(err, "decode page")
 	}
+	if stored.Sealed {
+		return nil, errSealed
+	}
 	decoded := make(records, len(stored.Records))
 	for _, r := range stored.Records {
 		if len(r.Hash) != len(Hash{}) || r.Owner < 0 || r.Owner >= len(stored.Owners) || r.Outcome > uint8(NotRun) {
--- a/serving/request/action/peers.go
+++ b/serving/request/action/peers.go
@@ -53,22 +53,24 @@
 	return t.take()
 }
 
-// writerReplied goes on with a change that was passed to the usual writer; without its
-// word the change is written from here. The writer may still write it: a claim has the
-// same nonce then, and an outcome is the same.
+// writerReplied goes on with a change that was passed to a writer; without its word the
+// change goes to the next one. The first may still write it: a claim has the same nonce
+// then, and an outcome is the same.
 func (t *Table) writerReplied(now time.Time, c call, reply Reply, err error) {
 	if err == nil && reply.State == Stands {
 		found := reply.Record.Hash == c.change.record.Hash
 		t.settle(now, c.page, c.change, reply.Record, found)
 		return
 	}
-	if err == nil && reply.State == Full {
-		t.refuseClaim(now, c.change)
+	if err == nil && (reply.State == Full || reply.State == Sealed) {
+		t.refuseChange(now, c.change, reply.State)
 		return
 	}
 	t.members.avoid(c.to, now.Add(avoidTime))
 	c.change.sent = true
-	t.submitHere(now, c.page, c.change)
+	if t.wanted(now, c.change) {
+		t.submit(now, c.page, c.change)
+	}
 }
 
 func (t *Table) holderReplied(now time.Time, c call, reply Reply, err error) {
--- a/serving/request/action/settings.go
+++ b/serving/request/action/settings.go
@@ -8,8 +8,8 @@
 	Retention time.Duration
 	// Skew is how far a key's timestamp may lie in the future of this clock.
 	Skew time.Duration
-	// Grace is how long pages are kept beyond Retention. At-most-once holds as long as the
-	// clocks of any two entry instances differ by less than Grace.
+	// Grace is how long pages are kept beyond Retention, so that clocks which differ by less
+	// seal no page whose keys are still in their window.
 	Grace time.Duration
 	// Memory is how long outcomes are kept in memory after they were written, counted
 	// from the key's time.
--- a/serving/request/action/store.go
+++ b/serving/request/action/store.go
@@ -1,6 +1,7 @@
 package action
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"time"
@@ -32,6 +33,8 @@
 	case Read:
 		result := k.read(ctx, o)
 		k.update(func(now time.Time, table *Table) []Order { return table.ReadDone(now, o, result) })
+	case Seal:
+		k.seal(ctx, o)
 	case Delete:
 		k.remove(ctx, o)
 	}
@@ -73,6 +76,19 @@
 	return StoreResult{State: StoreUnavailable}
 }
 
+func (k *Keeper) seal(ctx context.Context, o Seal) {
+	entry, err := k.store.Get(ctx, string(o.Page))
+	if errors.Is(err, store.ErrNotFound) || err == nil && bytes.Equal(entry.Value, sealedPage()) {
+		return
+	}
+	if err == nil {
+		_, err = k.store.Put(ctx, string(o.Page), sealedPage(), entry.Revision)
+	}
+	if err != nil {
+		k.log.WithField("page", o.Page).WithError(err).Warn("actions: expired page not sealed")
+	}
+}
+
 func (k *Keeper) remove(ctx context.Context, o Delete) {
 	if err := k.store.Delete(ctx, string(o.Page), store.AnyRevision); err != nil && !errors.Is(err, store.ErrNotFound) {
 		k.log.WithField("page", o.Page).WithError(err).Warn("actions: expired page not removed")
--- a/serving/request/action/swap.go
+++ b/serving/request/action/swap.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"papayaport.dev/serving/process/problem"
 )
 
@@ -17,9 +19,11 @@
 
 // pageState is a page as this entry instance last saw it, and what waits to be written.
 type pageState struct {
-	name      PageName
-	revision  uint64
-	records   records
+	name     PageName
+	revision uint64
+	records  records
+	// sealed tells that the page takes no claims any more.
+	sealed    bool
 	changes   []*change
 	flight    *flight
 	notBefore time.Time
@@ -54,7 +58,8 @@
 
 func (s *pageState) replace(result StoreResult) {
 	decoded, err := decode(result.Value)
-	if err != nil {
+	s.sealed = errors.Is(err, errSealed)
+	if err != nil && !s.sealed {
 		return
 	}
 	s.records = decoded
@@ -84,6 +89,10 @@
 	}
 	changes := t.stillWanted(now, state.changes)
 	state.changes = nil
+	if state.sealed {
+		t.refuse(now, state, changes, Sealed)
+		return
+	}
 	next, write := state.merge(changes)
 	if !write {
 		t.settleAll(now, state, changes)
@@ -128,28 +137,39 @@
 	if err == nil && len(value) <= t.settings.PageBytes {
 		return value, changes
 	}
-	t.refuse(now, state, changes)
+	t.refuse(now, state, changes, Full)
 	return nil, nil
 }
 
-// refuse ends the claims among changes and keeps the outcomes for the next swap.
-func (t *Table) refuse(now time.Time, state *pageState, changes []*change) {
+// refuse ends the claims among changes because the page is full or sealed. Outcomes are
+// kept for the next swap of a full page.
+func (t *Table) refuse(now time.Time, state *pageState, changes []*change, reason ReplyState) {
 	for _, c := range changes {
 		switch {
-		case !c.isClaim():
+		case !c.isClaim() && reason == Full:
 			state.changes = append(state.changes, c)
 		case c.query != 0:
-			t.respond(c.query, Reply{State: Full})
+			t.respond(c.query, Reply{State: reason})
 		default:
-			t.refuseClaim(now, c)
+			t.refuseChange(now, c, reason)
 		}
 	}
 	state.notBefore = now.Add(t.settings.FlushInterval)
 }
 
-func (t *Table) refuseClaim(now time.Time, c *change) {
-	if p := t.pending[c.record.Nonce]; p != nil {
+// refuseChange ends a change of this process that a full or sealed page can't take.
+func (t *Table) refuseChange(now time.Time, c *change, reason ReplyState) {
+	if !c.isClaim() {
+		t.settleOutcome(c, Record{}, false)
+		return
+	}
+	p := t.pending[c.record.Nonce]
+	switch {
+	case p == nil:
+	case reason == Full:
 		t.end(now, p, nil, problem.New(problem.QueueFull, "the page of the key is full; use a new key"))
+	default:
+		t.end(now, p, nil, problem.New(problem.KeyExpired, "the records of the key's time are closed").With(problem.Unknown))
 	}
 }
 
@@ -197,17 +217,37 @@
 	}
 }
 
+// failed has the changes of a swap that failed written by other members, which may
+// reach the store from their failure domains, or again from here if those failed too.
 func (t *Table) failed(now time.Time, state *pageState, done *flight, unsure bool) {
-	if unsure {
-		for _, c := range done.changes {
-			c.sent = true
-		}
-	}
-	state.requeue(done.changes)
-	t.pollAll(done.changes)
+	t.members.avoid(t.self.Member(), now.Add(avoidTime))
 	state.failures++
 	backoff := min(1<<min(state.failures-1, maxBackoff), maxBackoff)
 	state.notBefore = now.Add(t.jitter(t.settings.RetryInterval * time.Duration(backoff)))
+	t.pollAll(done.changes)
+	var kept []*change
+	for _, c := range done.changes {
+		c.sent = c.sent || unsure
+		if !t.passOn(now, state.name, c) {
+			kept = append(kept, c)
+		}
+	}
+	state.requeue(kept)
+}
+
+// passOn gives a change that wasn't written here to another writer, and tells whether
+// there is one. A peer's change goes back to the peer.
+func (t *Table) passOn(now time.Time, name PageName, c *change) bool {
+	if c.query != 0 {
+		t.respond(c.query, Reply{State: Unwritten})
+		return true
+	}
+	to := t.members.writer(now, name)
+	if to == t.self.Member() || c.isClaim() && t.pending[c.record.Nonce] == nil {
+		return false
+	}
+	t.callWriter(to, name, c)
+	return true
 }
 
 // requeue puts changes back in front of those that came meanwhile.
--- a/serving/request/action/sweep.go
+++ b/serving/request/action/sweep.go
@@ -2,17 +2,12 @@
 
 import "time"
 
-const (
-	// purgeInterval is the time between two looks for expired claims.
-	purgeInterval = 10 * time.Second
-	// secondSweep is how many buckets later a bucket's pages are removed once more, in
-	// case the first member to do it failed.
-	secondSweep = 30
-)
+// purgeInterval is the time between two looks for expired claims.
+const purgeInterval = 10 * time.Second
 
 // sweep is the state of the removal of what expired.
 type sweep struct {
-	// next is the number of the next page to be removed, counted over all buckets.
+	// next is the number of the next page to be sealed, counted over all buckets.
 	next     int64
 	purgedAt time.Time
 }
@@ -25,8 +20,9 @@
 	return true
 }
 
-// sweepPages removes expired pages one at a time, evenly over the length of a bucket.
-// Every page is removed twice, each time by the member with the highest hash.
+// sweepPages seals expired pages one at a time, evenly over the length of a bucket, and
+// removes them another retention later. An entry instance whose clock is slow finds the
+// seal in place of a page that seems new.
 func (t *Table) sweepPages(now time.Time) {
 	age := now.Add(-t.settings.Retention - t.settings.Grace).UnixMilli()
 	last := age*PagesPerBucket/BucketLength.Milliseconds() - PagesPerBucket
@@ -36,14 +32,18 @@
 	if t.sweep.next > last {
 		return
 	}
-	t.sweepPage(t.sweep.next, "first")
-	t.sweepPage(t.sweep.next-secondSweep*PagesPerBucket, "second")
+	sealed := pageNumber(t.sweep.next)
+	if t.members.sweeper(sealed+"seal") == t.members.self {
+		t.order(Seal{Page: sealed})
+	}
+	removed := pageNumber(t.sweep.next - int64(t.settings.Retention*PagesPerBucket/BucketLength))
+	if t.members.sweeper(removed+"remove") == t.members.self {
+		t.order(Delete{Page: removed})
+	}
 	t.sweep.next++
 }
 
-func (t *Table) sweepPage(number int64, turn string) {
-	page := pageName(number/PagesPerBucket, int(number%PagesPerBucket))
-	if t.members.writer(time.Time{}, page+PageName(turn)) == t.members.self {
-		t.order(Delete{Page: page})
-	}
+// pageNumber returns the name of a page by its number, counted over all buckets.
+func pageNumber(number int64) PageName {
+	return pageName(number/PagesPerBucket, int(number%PagesPerBucket))
 }
--- a/serving/request/action/table_test.go
+++ b/serving/request/action/table_test.go
@@ -261,3 +261,32 @@
 		require.Error(t, err)
 	}
 }
+
+// One entry instance is cut from the store; its claims go through the others.
+func TestCutFromStore(t *testing.T) {
+	w := calmWorld(t)
+	w.storeCut = w.nodes[0]
+	for range 3 * PagesPerBucket {
+		r := w.claim(w.nodes[0], w.newKey())
+		w.pass(time.Second)
+		require.Equal(t, granted, r.phase)
+	}
+}
+
+// An entry instance whose clock is an hour slow takes an expired key for a new one; the
+// seal on its page keeps it from running.
+func TestSealedPage(t *testing.T) {
+	w := calmWorld(t)
+	key := w.newKey()
+	first := w.claim(w.nodes[1], key)
+	w.pass(100 * time.Millisecond)
+	for range 3 {
+		w.serve(w.nodes[1], first)
+	}
+	w.pass(claimWindow + 3*BucketLength)
+	slow := w.nodes[5]
+	slow.offset = -claimWindow - 2*BucketLength
+	require.Less(t, w.clock(slow).Sub(key.created), claimWindow)
+	require.Equal(t, problem.Unknown, w.outcomeOf(t, slow, key))
+	require.Equal(t, 1, key.runs)
+}
