Stop a drained server only when every entry was heard after the drain

Cause: evidence of 5 s was shorter than the silence up to which a distant entry counts as live, so one that never heard of the drain could pass for heard. The server must now be seen without work for 35 s, and every entry heard of once after that time. Without the second condition TestStopWaitsForACutToHeal fails, without the first TestStopWaitsForEveryEntry.

--- a/serving/process/capacity/act.go
+++ b/serving/process/capacity/act.go
@@ -75,7 +75,7 @@
 			})
 			continue
 		}
-		if state.sent || now.Before(state.next) || state.idle.IsZero() || now.Sub(state.idle) < settle {
+		if state.sent || now.Before(state.next) || !state.settled(now) {
 			continue
 		}
 		state.sent = true
@@ -84,6 +84,11 @@
 	return orders
 }
 
+// settled tells that no entry instance can have work at the server any more.
+func (s *stopState) settled(now time.Time) bool {
+	return s.heard && !s.idle.IsZero() && now.Sub(s.idle) >= settle
+}
+
 // engineOrders asks servers that lack the service's model or an adapter to load it.
 func (p *Planner) engineOrders(now time.Time) []Order {
 	model := p.file.Model
--- a/serving/process/capacity/carry.go
+++ b/serving/process/capacity/carry.go
@@ -21,7 +21,8 @@
 	case DrainServer:
 		m.parts.Log.WithField("instance", o.Stop.Instance).Info("capacity: draining a backend server")
 		m.parts.Drainer.Drain(o.Stop, o.Within)
-		m.with(name, func(p *Planner) { p.Drained(o.Stop) })
+		now := m.clock()
+		m.with(name, func(p *Planner) { p.Drained(now, o.Stop) })
 	case StopInstance:
 		m.stop(ctx, name, o)
 	}
--- a/serving/process/capacity/planner.go
+++ b/serving/process/capacity/planner.go
@@ -20,8 +20,10 @@
 	listLag = time.Minute
 	// keepLeft is how long a notice is kept for an instance that is not listed.
 	keepLeft = 10 * time.Minute
-	// settle is how long a drained server must be seen without work.
-	settle = 5 * time.Second
+	// settle is how long a drained server must be seen without work. It is longer than
+	// the silence up to which an entry instance counts as live, so that all that are
+	// live behind it gave a sign of life after the drain.
+	settle = 35 * time.Second
 	// drainSlack is added to a service's deadline for draining a server.
 	drainSlack = time.Minute
 	// repeatAfter is the time between two attempts of an order without effect.
@@ -77,7 +79,8 @@
 
 type stopState struct {
 	asked   bool      // the drain was ordered
-	drained bool      // and has been carried out
+	drained time.Time // when it had been carried out
+	heard   bool      // every entry instance was heard of since
 	idle    time.Time // since when it is without work
 	sent    bool
 	next    time.Time
@@ -187,13 +190,17 @@
 	}
 }
 
-// noteIdle notes since when a drained server is without work.
+// noteIdle notes since when a drained server is without work, and that every entry
+// instance was heard of since the drain.
 func (p *Planner) noteIdle(now time.Time, report Report) {
 	stop := p.stops[PlannedStop{Instance: report.Instance, Incarnation: report.Incarnation}]
-	if stop == nil || !stop.drained {
+	if stop == nil || stop.drained.IsZero() {
 		return
 	}
-	if report.InUse > 0 || !report.AllHeard {
+	if report.AllHeard && now.Sub(stop.drained) >= settle {
+		stop.heard = true
+	}
+	if report.InUse > 0 {
 		stop.idle = time.Time{}
 		return
 	}
@@ -281,9 +288,9 @@
 }
 
 // Drained tells that a DrainServer was carried out: all entry instances are being told.
-func (p *Planner) Drained(stop PlannedStop) {
+func (p *Planner) Drained(now time.Time, stop PlannedStop) {
 	if state := p.stops[stop]; state != nil {
-		state.drained = true
+		state.drained = now
 	}
 }
 
--- a/serving/process/capacity/planner_test.go
+++ b/serving/process/capacity/planner_test.go
@@ -103,7 +103,7 @@
 	require.Empty(t, w.stopped, "requests in flight")
 	require.Len(t, w.plan.Stops, 1)
 	clear(w.inUse)
-	w.run(p, 3*time.Second)
+	w.run(p, 30*time.Second)
 	require.Empty(t, w.stopped, "seen idle for a moment only")
 	w.run(p, 10*time.Second)
 	require.Len(t, w.stopped, 1)
@@ -111,6 +111,20 @@
 	require.Len(t, w.instances, 1, "the least number stays")
 }
 
+func TestStopWaitsForACutToHeal(t *testing.T) {
+	w, p := newWorld(), holder()
+	p.Demand(capacity.Demand{InFlight: 14})
+	w.run(p, 20*time.Second)
+	p.Demand(capacity.Demand{})
+	w.cut = true
+	w.run(p, 20*time.Minute)
+	require.Len(t, w.plan.Stops, 1)
+	require.Empty(t, w.stopped, "an entry instance may not know of the drain")
+	w.cut = false
+	w.run(p, 5*time.Second)
+	require.Len(t, w.stopped, 1)
+}
+
 func TestLostAnswersStartOnce(t *testing.T) {
 	w, p := newWorld(), holder()
 	p.Instances(w.now, nil, 0)
--- a/serving/process/capacity/stateful_test.go
+++ b/serving/process/capacity/stateful_test.go
@@ -164,7 +164,7 @@
 	case capacity.DrainServer:
 		drained[o.Stop.Instance] = true
 		w.inUse[o.Stop.Instance] = 0
-		return func() { u.planner.Drained(o.Stop) }
+		return func() { u.planner.Drained(w.now, o.Stop) }
 	case capacity.StopInstance:
 		if !drained[o.Stop.Instance] || w.inUse[o.Stop.Instance] > 0 {
 			t.Fatalf("stopped %s: drained %v, %d in use", o.Stop.Instance, drained[o.Stop.Instance], w.inUse[o.Stop.Instance])
--- a/serving/process/capacity/world_test.go
+++ b/serving/process/capacity/world_test.go
@@ -67,6 +67,7 @@
 	plan      capacity.Plan
 	revision  uint64
 	stopped   []string
+	cut       bool // an entry instance is out of reach
 }
 
 func newWorld() *world {
@@ -132,7 +133,7 @@
 		result, id := w.start(o.Start)
 		p.Started(w.now, o.Start.RequestID, result, id)
 	case capacity.DrainServer:
-		p.Drained(o.Stop)
+		p.Drained(w.now, o.Stop)
 	case capacity.StopInstance:
 		w.stopped = append(w.stopped, o.Stop.Instance)
 		delete(w.instances, o.Stop.Instance)
@@ -145,7 +146,7 @@
 func (w *world) reports() []capacity.Report {
 	var all []capacity.Report
 	for _, s := range w.list() {
-		all = append(all, capacity.Report{Instance: s.ID, Incarnation: s.Incarnation, InUse: w.inUse[s.ID], AllHeard: true})
+		all = append(all, capacity.Report{Instance: s.ID, Incarnation: s.Incarnation, InUse: w.inUse[s.ID], AllHeard: !w.cut})
 	}
 	return all
 }
