Copy hot prefixes off leaving engines

Cause: the plan of a reclaim can save cached prefixes, but nobody told it which are hot or carried the copies out. The test fails without the hot list (no import).

--- a/entry/daemon/peers.go
+++ b/entry/daemon/peers.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"strconv"
@@ -110,12 +111,8 @@
 // 1998), so that all entry instances agree on the likeliest holder.
 func (p *requestPeers) Ranked(request string) []string {
 	members := p.d.members.Live(time.Now())
-	score := func(m membership.Member) uint64 { return xxhash.Sum64String(m.Instance + "\x00" + request) }
 	slices.SortFunc(members, func(a, b membership.Member) int {
-		if score(a) > score(b) {
-			return -1
-		}
-		return 1
+		return cmp.Compare(rendezvous(b.Instance, request), rendezvous(a.Instance, request))
 	})
 	addresses := make([]string, len(members))
 	for i, member := range members {
@@ -124,6 +121,20 @@
 	return addresses
 }
 
+func rendezvous(instance, name string) uint64 { return xxhash.Sum64String(instance + "\x00" + name) }
+
+// Rank returns the place of this instance among the live ones for a name.
+func (p *requestPeers) Rank(name string) int {
+	own := rendezvous(p.d.set.Instance, name)
+	rank := 0
+	for _, member := range p.d.members.Live(time.Now()) {
+		if rendezvous(member.Instance, name) > own {
+			rank++
+		}
+	}
+	return rank
+}
+
 // Find asks a peer whether it holds a request.
 func (p *requestPeers) Find(ctx context.Context, address, request string) (bool, error) {
 	return p.d.peers.Find(ctx, address, request)
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -51,6 +51,8 @@
 type Peers interface {
 	// Ranked returns peer addresses, the likeliest holder of a request first.
 	Ranked(request string) []string
+	// Rank returns the place of this instance among all entry instances for a name, from 0.
+	Rank(name string) int
 	Find(ctx context.Context, address, request string) (bool, error)
 	Attach(ctx context.Context, address, request string, offset int64, receive func(piece []byte) error) error
 	HandOver(ctx context.Context, address, request string, body, state []byte) error
--- a/entry/gateway/gateway_test.go
+++ b/entry/gateway/gateway_test.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"bytes"
+	"encoding/json"
 	"io"
 	"net"
 	"net/http"
@@ -151,6 +153,52 @@
 	require.Equal(t, runs, leaving.runs.Load())
 }
 
+func TestHotPrefixLeavesWithItsEngine(t *testing.T) {
+	w := newWorld(t, "e1")
+	var exports, imports atomic.Int64
+	withCache := func(fake *fakeEngine) http.HandlerFunc {
+		return func(writer http.ResponseWriter, r *http.Request) {
+			switch r.URL.Path {
+			case engine.ExportPath:
+				var export engine.Export
+				require.NoError(t, json.NewDecoder(r.Body).Decode(&export))
+				require.Len(t, export.Blocks, 3)
+				exports.Add(1)
+				_, _ = io.WriteString(writer, `{"handle":"h"}`)
+			case engine.ImportPath:
+				imports.Add(1)
+				_, _ = io.WriteString(writer, `{"tokens":384}`)
+			default:
+				fake.ServeHTTP(writer, r)
+			}
+		}
+	}
+	w.add("leaving", "model-bench", withCache(&fakeEngine{tokens: 5}))
+	server := w.serve("e1")
+	filing := strings.Repeat("filing ", 230)
+	for _, question := range []string{"is it true?", "who says so?"} {
+		got := send(t, server.URL, filing+question)
+		require.Equal(t, http.StatusOK, got)
+	}
+	w.add("other", "model-bench", withCache(&fakeEngine{tokens: 5}))
+	w.gateways["e1"].Leaving("leaving", 1, time.Now().Add(3*time.Second))
+	require.Eventually(t, func() bool { return imports.Load() == 1 }, 5*time.Second, 10*time.Millisecond)
+	time.Sleep(3 * planPeriod)
+	require.Equal(t, int64(1), exports.Load())
+}
+
+func send(t *testing.T, url, content string) int {
+	body, err := json.Marshal(chat{Model: "model-bench", Messages: []engine.Message{{Role: "user", Content: content}}})
+	require.NoError(t, err)
+	request, err := http.NewRequest(http.MethodPost, url+chatPath, bytes.NewReader(body))
+	require.NoError(t, err)
+	request.Header.Set("Authorization", "Bearer "+accountKey)
+	response, err := http.DefaultClient.Do(request)
+	require.NoError(t, err)
+	defer response.Body.Close()
+	return response.StatusCode
+}
+
 func TestHandOverGoesOnWhereTheAnswerWas(t *testing.T) {
 	const tokens = 100
 	for name, cut := range map[string]bool{"forwarded": false, "caller comes back": true} {
--- a/entry/gateway/meters.go
+++ b/entry/gateway/meters.go
@@ -37,6 +37,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`papayaport_moves_total{service=%q,how=%q}`, service, how)).Inc()
 }
 
+func (m *Meters) prefixSaved(tokens int) {
+	m.set.GetOrCreateCounter("papayaport_prefixes_saved_total").Inc()
+	m.set.GetOrCreateCounter("papayaport_prefix_tokens_saved_total").Add(tokens)
+}
+
 func (m *Meters) dropped(verdict string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`papayaport_chunks_dropped_total{verdict=%q}`, verdict)).Inc()
 }
--- a/entry/gateway/move.go
+++ b/entry/gateway/move.go
@@ -9,6 +9,7 @@
 
 	"papayaport.dev/serving/connection/engine"
 	"papayaport.dev/serving/process/reclaim"
+	"papayaport.dev/serving/request/prefix"
 	"papayaport.dev/serving/request/route"
 )
 
@@ -34,10 +35,16 @@
 	leaving  map[string]time.Time
 	moving   map[string]bool
 	planned  time.Time
+	// noted is when the leaving of each backend server was heard of.
+	noted map[string]time.Time
+	saved saves
 }
 
 func newMover(g *Gateway) *mover {
-	return &mover{gateway: g, leaving: map[string]time.Time{}, moving: map[string]bool{}}
+	return &mover{
+		gateway: g, leaving: map[string]time.Time{}, moving: map[string]bool{},
+		noted: map[string]time.Time{}, saved: saves{},
+	}
 }
 
 // SetBackends replaces the set of backend servers that are known.
@@ -83,6 +90,7 @@
 		return
 	}
 	m.leaving[id] = deadline
+	m.noted[id] = m.gateway.Clock()
 	m.planned = time.Time{}
 }
 
@@ -92,11 +100,14 @@
 		return
 	}
 	work := map[string]*run{}
+	chains := map[prefix.Block][]prefix.Block{}
 	input.Work = m.work(input.Leaving, work)
-	if len(input.Work) == 0 {
-		return
-	}
+	input.Cached = m.cached(now, input.Leaving, chains)
 	for _, order := range reclaim.Plan(now, input) {
+		if order.Kind == reclaim.Save {
+			m.save(order, chains[order.Block])
+			continue
+		}
 		if r := work[order.RequestID]; r != nil {
 			m.carryOut(order, r)
 		}
@@ -115,10 +126,14 @@
 	for id, deadline := range m.leaving {
 		if _, leaving := m.gateway.Routes.IsLeaving(id); !leaving || now.Sub(deadline) > goneAfter {
 			delete(m.leaving, id)
+			delete(m.noted, id)
 			continue
 		}
 		in.Leaving = append(in.Leaving, m.leavingServer(id, deadline))
 	}
+	if len(m.leaving) == 0 {
+		m.saved = saves{}
+	}
 	for _, backend := range m.backends {
 		if _, leaving := m.leaving[backend.ID]; !leaving {
 			in.Receivers = append(in.Receivers, receiver(backend, used[backend.ID]))
@@ -254,14 +269,8 @@
 }
 
 func (m *mover) copyCache(ctx context.Context, current *attempt, order reclaim.Order) error {
-	from := current.choice.Backend
-	exported, err := m.engine(from).Export(ctx, engine.Export{Attempt: current.id})
-	if err != nil {
-		return err
-	}
 	to, _ := m.gateway.Routes.Backend(order.To)
-	_, err = m.engine(to).Import(ctx, engine.Import{From: from.Address, Handle: exported.Handle})
-	return err
+	return m.copy(ctx, current.choice.Backend, to, engine.Export{Attempt: current.id})
 }
 
 func (m *mover) engine(backend route.Backend) *engine.Client {
--- a/entry/gateway/world_test.go
+++ b/entry/gateway/world_test.go
@@ -84,6 +84,8 @@
 	return others
 }
 
+func (n *neighbours) Rank(string) int { return 0 }
+
 func (n *neighbours) Find(_ context.Context, address, request string) (bool, error) {
 	return n.gateways[address].Holds(request), nil
 }
