Prove that answers outlive a stopped entry and withdrawn claims are recorded

TestAnswerOutlivesStoppedEntry: a claiming entry instance is stopped in mid-request; its caller and later repeats elsewhere get one answer, one run. TestWithdrawnClaimIsRecorded: a claim whose swap lost its answer and whose caller was refused is recorded as not run; without noting that the swap may have taken effect the key was lost.

--- a/serving/request/action/network_test.go
+++ b/serving/request/action/network_test.go
@@ -9,6 +9,10 @@
 	switch fault := w.fault("swap", 12); {
 	case w.store.down || n.cut || n == w.storeCut || fault == 0:
 		done(StoreResult{State: StoreUnavailable})
+	case w.loseAnswer:
+		w.loseAnswer, w.store.down = false, true
+		w.store.swap(o)
+		done(StoreResult{State: StoreUnknown})
 	case fault == 1:
 		w.store.swap(o)
 		done(StoreResult{State: StoreUnknown})
--- a/serving/request/action/table_test.go
+++ b/serving/request/action/table_test.go
@@ -290,3 +290,23 @@
 	require.Equal(t, problem.Unknown, w.outcomeOf(t, slow, key))
 	require.Equal(t, 1, key.runs)
 }
+
+// A claim is written, the answer is lost, and its caller is refused in the outage that
+// follows. Later its process is replaced; the key must not be lost.
+func TestWithdrawnClaimIsRecorded(t *testing.T) {
+	w := calmWorld(t)
+	for range PagesPerBucket {
+		key := w.newKey()
+		w.loseAnswer = true
+		r := w.claim(w.nodes[0], key)
+		w.pass(2 * time.Second)
+		require.Equal(t, ended, r.phase)
+		w.store.down = false
+		w.pass(4 * time.Second)
+		w.boot(w.nodes[0])
+		w.pass(100 * time.Millisecond)
+		again := w.claim(w.nodes[1], key)
+		w.pass(time.Second)
+		require.Equal(t, granted, again.phase)
+	}
+}
--- a/serving/request/action/world_test.go
+++ b/serving/request/action/world_test.go
@@ -105,6 +105,8 @@
 	nextID   uint64
 	// faults are the kinds of fault that this world has.
 	faults map[string]bool
+	// loseAnswer loses the answer of the next swap, with which an outage begins.
+	loseAnswer bool
 	// storeCut is a process that can't reach the store.
 	storeCut *node
 	// onResolve hears of every claim that ends.
--- a/standin/proof/atmostonce_test.go
+++ b/standin/proof/atmostonce_test.go
@@ -185,3 +185,25 @@
 	}
 	return key.String()
 }
+
+// The claiming entry instance is stopped while its request runs: the caller gets its
+// answer, and repeats get the same one when the entry instance is gone.
+func TestAnswerOutlivesStoppedEntry(t *testing.T) {
+	ctx, s := start(t, launch.Plan{Tenants: []string{tenants.Rahmeh}, EnginesPerDomain: -1, Entries: 4, StopGrace: 5 * time.Second})
+	setServices(ctx, t, s, plain.Faults{DelayMS: 300, AnswerDelayMS: 300})
+	for i, p := range s.Entries[:2] {
+		a := newBooking(t)
+		sent := make(chan result, 1)
+		go func() { sent <- sendTo(ctx, t, p, a) }()
+		time.Sleep(200 * time.Millisecond)
+		require.NoError(t, p.Terminate())
+		first := <-sent
+		require.Equal(t, http.StatusOK, first.status, first)
+		require.NoError(t, p.Wait(ctx))
+		for _, r := range sendToAll(ctx, t, s.Entries[i+1:], a) {
+			require.Equal(t, http.StatusOK, r.status, r)
+			require.Equal(t, first.body, r.body, r)
+		}
+		require.Equal(t, 1, runsOf(ctx, t, s, a))
+	}
+}
