--- a/serving/request/action/table_test.go
+++ b/serving/request/action/table_test.go
@@ -1,6 +1,7 @@
 package action
 
 import (
+	"math/rand/v2"
 	"strings"
 	"testing"
 	"time"
@@ -158,16 +159,16 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			parsed, err := parseKey(Claim{Key: c.key})
-			if err == nil {
-				err = parsed.checkAge(now, claimWindow, maxOffset)
-			}
+			table := NewTable(now, Self{Instance: "entry-0"}, worldSettings(), rand.New(rand.NewPCG(1, 1)))
+			_, orders := table.Claim(now, Claim{Key: c.key, Window: claimWindow}, now.Add(time.Second))
+			require.Len(t, orders, 1, "a refused key costs no call")
 			if c.kind == "" {
-				require.NoError(t, err)
+				require.IsType(t, Swap{}, orders[0])
 				return
 			}
-			require.Equal(t, c.kind, problem.From(err).Kind)
-			require.Equal(t, c.outcome, problem.From(err).Document("").Outcome)
+			err := problem.From(orders[0].(Resolve).Err)
+			require.Equal(t, c.kind, err.Kind)
+			require.Equal(t, c.outcome, err.Document("").Outcome)
 		})
 	}
 }
