Size the set of homes by the work, and forget late answers sooner

Cause: a trace of every choice showed that servers which a burst had made late kept a bad name for 10 s, so that second questions left their filing; the half-life is 3 s now. Homes are on the cheapest servers that the work needs, half of all at least.

A saved prefix goes to the server at which later requests will look for it.

--- a/serving/process/reclaim/plan.go
+++ b/serving/process/reclaim/plan.go
@@ -169,7 +169,7 @@
 	if from == nil || c.Elsewhere || c.Tokens < smallestSave || c.HitsPerSecond <= 0 {
 		return
 	}
-	to := p.cache(c.Service, c.Tokens)
+	to := p.cache(c)
 	if to == nil || !from.export(c.Tokens) {
 		return
 	}
@@ -221,9 +221,14 @@
 	return p.best(service, func(*target) bool { return true })
 }
 
-// cache returns the server that takes a saved prefix.
-func (p *planner) cache(service string, tokens int) *target {
-	return p.best(service, func(t *target) bool { return t.Imports && t.FreeCacheTokens >= tokens })
+// cache returns the server that takes a saved prefix: its home when that has room.
+func (p *planner) cache(c Cached) *target {
+	hasRoom := func(t *target) bool { return t.Imports && t.FreeCacheTokens >= c.Tokens }
+	isHome := func(t *target) bool { return t.Backend == c.Home && hasRoom(t) }
+	if home := p.best(c.Service, isHome); home != nil {
+		return home
+	}
+	return p.best(c.Service, hasRoom)
 }
 
 // best returns the best of the receivers of a service that have room: the failure domain
--- a/serving/process/reclaim/plan_test.go
+++ b/serving/process/reclaim/plan_test.go
@@ -121,6 +121,12 @@
 		},
 		Receivers: []reclaim.Receiver{receiver("b1", "b", 2), receiver("c1", "c", 2)},
 	})
+	at := reclaim.Plan(start, reclaim.Input{
+		Leaving:   []reclaim.Leaving{leaving("gone", 2*time.Second)},
+		Cached:    []reclaim.Cached{{Backend: "gone", Service: "model-bench", Block: 1, Tokens: 500, HitsPerSecond: 1, Home: "c1"}},
+		Receivers: []reclaim.Receiver{receiver("b1", "b", 2), receiver("c1", "c", 2)},
+	})
+	require.Equal(t, "c1", at[0].To)
 	var saved []prefix.Block
 	domains := map[string]bool{orders[0].To: true}
 	for _, order := range orders[1:] {
--- a/serving/process/reclaim/reclaim.go
+++ b/serving/process/reclaim/reclaim.go
@@ -65,6 +65,8 @@
 	HitsPerSecond float64
 	// Elsewhere tells that a server that stays holds the prefix as well.
 	Elsewhere bool
+	// Home is the server at which later requests will look for the prefix, if known.
+	Home string
 }
 
 // Receiver is a backend server that stays.
--- a/serving/request/route/attempt.go
+++ b/serving/request/route/attempt.go
@@ -3,6 +3,8 @@
 import (
 	"sort"
 	"time"
+
+	"papayaport.dev/serving/request/prefix"
 )
 
 // attempt is one request sent to one backend server and not finished.
@@ -134,6 +136,15 @@
 	}
 }
 
+// Stored notes that a backend server took over the cached work of a whole chain.
+func (t *Table) Stored(id string, blocks []prefix.Block) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if b := t.backends[id]; b != nil && t.parts.prefix {
+		b.group.known.storeAll(blocks, b.column)
+	}
+}
+
 // OnBackend returns the ids of the attempts on the known incarnation of a backend server,
 // in order.
 func (t *Table) OnBackend(id string) []string {
--- a/serving/request/route/health.go
+++ b/serving/request/route/health.go
@@ -14,7 +14,7 @@
 	firstDeviation = 20 * time.Millisecond
 	// errorHalfLife is the time in which a server without observations wins half of its
 	// reputation back.
-	errorHalfLife = 10 * time.Second
+	errorHalfLife = 3 * time.Second
 
 	// betweenWeight is the weight of a new time between tokens.
 	betweenWeight = 0.05
--- a/serving/request/route/papayaport.go
+++ b/serving/request/route/papayaport.go
@@ -14,10 +14,7 @@
 	// other prefixes and leads further prompts astray.
 	recomputeShare = 2
 	// homeWork is the work of a server up to which it is a home for new prefixes.
-	homeWork = 0.4
-	// spareHomes is the number of servers for which one more is a home, so that a burst of
-	// new prefixes finds room before reports tell of it.
-	spareHomes = 4
+	homeWork = 0.5
 	// headroom is the share of the latency target that estimates may use. The servers
 	// that are picked are those whose estimates err to the low side more often than not.
 	headroom = 0.6
@@ -100,14 +97,15 @@
 	return float64(d) / float64(time.Millisecond)
 }
 
-// needed returns how many servers, cheapest first, do all the present work. New prefixes
+// needed returns how many servers, cheapest first, do all the present work; half of them
+// at least, because a burst of new prefixes comes before reports tell of it. New prefixes
 // have their homes there, so that the others stay idle and entry instances still agree.
 func needed(candidates []Candidate) int {
 	total := 0.0
 	for i := range candidates {
 		total += candidates[i].Work
 	}
-	return min(int(total/homeWork)+1+len(candidates)/spareHomes, len(candidates))
+	return min(max(int(total/homeWork)+1, (len(candidates)+1)/2), len(candidates))
 }
 
 // boundedHome returns the first candidate in rendezvous order that has a free slot, or
