Test headroom, cached work, forgiveness and shared prefixes

Each test was seen to fail without its mechanism: headroom, the weight of cached tokens, the decay of late answers, attempts without an estimate, the shared part of a prefix, the order of servers by price.

--- a/serving/request/route/backend_test.go
+++ b/serving/request/route/backend_test.go
@@ -161,7 +161,7 @@
 func share(t *testing.T, table *route.Table, now *time.Time, count int, misbehave func(attempt string) bool) int {
 	t.Helper()
 	got := 0
-	loose := service.LatencyTarget{FirstTokenMS: 1500, Quantile: 0.95}
+	loose := service.LatencyTarget{FirstTokenMS: 800, Quantile: 0.95}
 	request := route.Request{Service: "model-bench", PromptTokens: 100, AnswerTokens: 20, Target: loose}
 	var open []string
 	for i := range count {
@@ -226,7 +226,7 @@
 	for i, question := range []struct {
 		filing string
 		length int
-	}{{"once", 20}, {"twice", 20}, {"twice", 22}, {"both", 20}, {"both", 20}, {"thrice", 17}, {"thrice", 20}, {"thrice", 18}} {
+	}{{"once", 20}, {"twice", 20}, {"twice", 22}, {"both", 20}, {"both", 20}, {"thrice", 20}, {"thrice", 17}, {"thrice", 18}} {
 		table.Sent(start, fmt.Sprint(i), choiceOf(0), filing(question.filing, question.length))
 	}
 	table.Sent(start, "other", choiceOf(1), filing("both", 20))
@@ -250,3 +250,28 @@
 	}
 	require.Empty(t, table.Hot(start, "unknown"))
 }
+
+func TestAttemptWithoutEstimateIsNoProof(t *testing.T) {
+	list := backends(2)
+	list[1].PricePerHour = 2
+	table := seededTable(t, route.Papayaport, list, 1)
+	request := route.Request{Service: "model-bench", PromptTokens: 100, AnswerTokens: 20, Target: target}
+	table.Sent(start, "moved", choiceOf(0), request)
+	now := start.Add(900 * time.Millisecond)
+	table.FirstToken(now, "moved", 0)
+	table.Done(now, "moved", route.OK, 0)
+	require.Equal(t, id(0), choose(t, table, now, request).Backend.ID)
+}
+
+func TestLateServerIsForgivenInTime(t *testing.T) {
+	list := backends(2)
+	list[1].PricePerHour = 2
+	table := seededTable(t, route.Papayaport, list, 1)
+	request := route.Request{Service: "model-bench", PromptTokens: 100, AnswerTokens: 20, Target: target}
+	require.Equal(t, id(0), send(t, table, start, "late", request).Backend.ID)
+	now := start.Add(5 * time.Second)
+	table.FirstToken(now, "late", 0)
+	table.Done(now, "late", route.OK, 0)
+	require.Equal(t, id(1), choose(t, table, now.Add(time.Second), request).Backend.ID)
+	require.Equal(t, id(0), choose(t, table, now.Add(time.Minute), request).Backend.ID)
+}
--- a/serving/request/route/choose_test.go
+++ b/serving/request/route/choose_test.go
@@ -148,6 +148,32 @@
 	}
 }
 
+func TestCachedWorkOutweighsABusyServer(t *testing.T) {
+	table := newTable(t, route.Papayaport, 2)
+	request := filing("a", 10)
+	table.Sent(start, "first", choiceOf(0), request)
+	table.Done(start, "first", route.OK, 0)
+	table.Report(start, id(1), load(7))
+	require.Equal(t, id(0), choose(t, table, start.Add(time.Second), request).Backend.ID)
+}
+
+// TestEstimatesLeaveHeadroom has a filing's server out of reach, a cheap one whose estimate
+// is just within the target, and a dear one that is well within.
+func TestEstimatesLeaveHeadroom(t *testing.T) {
+	list := backends(3)
+	list[2].PricePerHour = 1.2
+	table := seededTable(t, route.Papayaport, list, 1)
+	request := filing("a", 10)
+	table.Sent(start, "first", choiceOf(0), request)
+	table.Done(start, "first", route.OK, 0)
+	now := start.Add(time.Second)
+	table.Report(now, id(0), load(60))
+	waiting := load(0)
+	waiting.PrefillTokens = 1500
+	table.Report(now, id(1), waiting)
+	require.Equal(t, id(2), choose(t, table, now, request).Backend.ID)
+}
+
 func TestEntriesAgreeOnHomes(t *testing.T) {
 	one := seededTable(t, route.Papayaport, backends(12), 1)
 	other := seededTable(t, route.Papayaport, backends(12), 99)
@@ -172,13 +198,20 @@
 	}{"idle": {0, 6}, "half": {0.4, 10}, "full": {0.9, 12}}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			table := newTable(t, route.Papayaport, 12)
+			list := backends(12)
+			for i := range list {
+				list[i].PricePerHour = 2 - 0.01*float64(i) // the last one is the cheapest
+			}
+			table := seededTable(t, route.Papayaport, list, 1)
 			now := busy(table, 12, c.share)
 			used := map[string]bool{}
 			for i := range 100 {
 				used[choose(t, table, now, filing(fmt.Sprintf("filing %d", i), 10)).Backend.ID] = true
 			}
 			require.Len(t, used, c.want)
+			for i := range c.want {
+				require.Contains(t, used, id(11-i))
+			}
 		})
 	}
 }
