--- a/entry/gateway/deliver.go
+++ b/entry/gateway/deliver.go
@@ -90,7 +90,7 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("Cache-Control", "no-store")
 	w.WriteHeader(http.StatusOK)
-	g.follower(w, c, r).run(ctx, batch)
+	g.follower(w, c, r).follow(ctx, batch)
 }
 
 // follower writes a growing answer as server-sent events.
@@ -99,20 +99,20 @@
 	writer  http.ResponseWriter
 	flusher *http.ResponseController
 	call    *call
-	answer  *run
+	run     *run
 	// head is the part of every event before its content.
 	head   string
 	buffer []byte
 }
 
 func (g *Gateway) follower(w http.ResponseWriter, c *call, r *run) *follower {
-	f := &follower{gateway: g, writer: w, flusher: http.NewResponseController(w), call: c, answer: r}
+	f := &follower{gateway: g, writer: w, flusher: http.NewResponseController(w), call: c, run: r}
 	f.head = `{"id":"` + c.id + `","object":"chat.completion.chunk","created":` + strconv.FormatInt(r.started.Unix(), 10) +
 		`,"model":"` + r.file.Name + `","choices":[{"index":0,"delta":{`
 	return f
 }
 
-func (f *follower) run(ctx context.Context, batch answer.Batch) {
+func (f *follower) follow(ctx context.Context, batch answer.Batch) {
 	for {
 		if !f.write(batch) {
 			return
@@ -121,7 +121,7 @@
 			return
 		}
 		var err error
-		batch, err = f.answer.log.Read(ctx, batch.From+len(batch.Tokens), batchTokens, batch.Tokens)
+		batch, err = f.run.log.Read(ctx, batch.From+len(batch.Tokens), batchTokens, batch.Tokens)
 		if err != nil {
 			abort()
 		}
@@ -183,13 +183,13 @@
 	f.buffer = append(f.buffer, `,"usage":`...)
 	f.buffer = appendJSON(f.buffer, end.Usage)
 	f.buffer = append(f.buffer, "}\n\ndata: [DONE]\n\n"...)
-	f.gateway.Meters.answered(f.answer.file.Name, "ok")
+	f.gateway.Meters.answered(f.run.file.Name, "ok")
 }
 
 // failure ends a stream that has begun with a problem document and no final marker.
 func (f *follower) failure(err error) {
 	document := problem.From(err).Document(f.call.id)
-	f.gateway.Meters.answered(f.answer.file.Name, string(document.Outcome))
+	f.gateway.Meters.answered(f.run.file.Name, string(document.Outcome))
 	f.buffer = append(f.buffer, "event: error\ndata: "...)
 	f.buffer = appendJSON(f.buffer, document)
 	f.buffer = append(f.buffer, "\n\n"...)
