--- a/standin/proof/main_test.go
+++ b/standin/proof/main_test.go
@@ -3,6 +3,7 @@
 package proof
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net/http"
@@ -39,7 +40,8 @@
 	binDir = dir
 	programs := map[string]string{"papayaport": "entry", "papayactl": "ctl", "standin": "standin"}
 	for program, module := range programs {
-		build := exec.Command("go", "build", "-o", filepath.Join(dir, program), "papayaport.dev/"+module)
+		args := append([]string{"build", "-o", filepath.Join(dir, program)}, buildFlags...)
+		build := exec.Command("go", append(args, "papayaport.dev/"+module)...)
 		if out, err := build.CombinedOutput(); err != nil {
 			fmt.Fprintf(os.Stderr, "building %s: %v\n%s", program, err, out)
 			return 1
@@ -65,6 +67,7 @@
 	s, err := launch.Start(ctx, plan)
 	require.NoError(t, err)
 	t.Cleanup(func() {
+		requireNoRace(t, s)
 		if t.Failed() {
 			showLogs(t, s)
 		}
@@ -75,6 +78,17 @@
 	return ctx, s
 }
 
+// requireNoRace fails a test when the race detector found something in an entry.
+func requireNoRace(t *testing.T, s *launch.System) {
+	for _, p := range s.Entries {
+		data, err := os.ReadFile(p.Log)
+		require.NoError(t, err)
+		if at := bytes.Index(data, []byte("WARNING: DATA RACE")); at >= 0 {
+			t.Errorf("%s: %s", p.Name, data[at:min(len(data), at+logBytes)])
+		}
+	}
+}
+
 // logBytes is the part of each entry's log that is shown.
 const logBytes = 3000
 
--- /dev/null
+++ b/standin/proof/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package proof
+
+var buildFlags []string
