--- a/entry/gateway/deliver.go
+++ b/entry/gateway/deliver.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
+	"time"
 
 	"papayaport.dev/serving/connection/engine"
 	"papayaport.dev/serving/process/problem"
@@ -39,11 +40,17 @@
 		return
 	}
 	text, _ := r.log.Text()
+	g.limitWrite(w)
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(wholeOf(c, r, text, end))
 	g.Meters.answered(r.file.Name, "ok")
 }
 
+// limitWrite bounds the time in which a caller must read what is written next.
+func (g *Gateway) limitWrite(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(g.Limits.WriteTimeout()))
+}
+
 func waitEnd(ctx context.Context, log *answer.Log) (*answer.End, error) {
 	batch, err := log.Read(ctx, unreachedToken, 1, nil)
 	return batch.End, err
@@ -103,6 +110,8 @@
 	// head is the part of every event before its content.
 	head   string
 	buffer []byte
+	// extended is when the time to read was last extended.
+	extended time.Time
 }
 
 func (g *Gateway) follower(w http.ResponseWriter, c *call, r *run) *follower {
@@ -137,12 +146,24 @@
 	if batch.End != nil {
 		f.end(batch.From+len(batch.Tokens), batch.End)
 	}
+	f.extend()
 	if _, err := f.writer.Write(f.buffer); err != nil {
 		return false
 	}
 	return f.flusher.Flush() == nil
 }
 
+// extend gives the caller more time to read, at most once in a quarter of that time.
+func (f *follower) extend() {
+	now := time.Now()
+	limit := f.gateway.Limits.WriteTimeout()
+	if now.Sub(f.extended) < limit/4 {
+		return
+	}
+	f.extended = now
+	_ = f.flusher.SetWriteDeadline(now.Add(limit))
+}
+
 func (f *follower) token(index int, token string) {
 	f.eventID(index)
 	f.buffer = append(f.buffer, f.head...)
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -133,6 +133,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	call, err := g.receive(w, r)
+	defer func() { _ = http.NewResponseController(w).SetWriteDeadline(time.Time{}) }()
 	if err != nil {
 		g.refuse(w, call, err)
 		return
--- a/entry/gateway/gateway_test.go
+++ b/entry/gateway/gateway_test.go
@@ -284,6 +284,28 @@
 	}, 20*time.Second, 50*time.Millisecond)
 }
 
+func TestCallerThatDoesNotReadIsCut(t *testing.T) {
+	w := newWorld(t, "e1")
+	w.gateways["e1"].Limits.WriteTimeoutMS = 300
+	large := strings.Repeat("x", 200<<10)
+	w.add("engine", "model-bench", (&fakeEngine{tokens: 150, spoil: func(_ string, c *engine.Chunk) bool {
+		if c.Choices[0].FinishReason == "" {
+			c.Choices[0].Delta.Content = large
+		}
+		return true
+	}}).ServeHTTP)
+	server := w.serve("e1")
+	conn, err := net.Dial("tcp", server.Listener.Addr().String())
+	require.NoError(t, err)
+	defer conn.Close()
+	body := `{"model":"model-bench","stream":true,"messages":[{"role":"user","content":"x"}]}`
+	_, err = io.WriteString(conn, "POST "+chatPath+" HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "+accountKey+
+		"\r\nContent-Length: "+strconv.Itoa(len(body))+"\r\n\r\n"+body)
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return w.gateways["e1"].InFlight() == 1 }, 10*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return w.gateways["e1"].InFlight() == 0 }, 20*time.Second, 20*time.Millisecond)
+}
+
 func TestNonIdempotentIsSentOnce(t *testing.T) {
 	tests := map[string]struct {
 		handler http.HandlerFunc
--- a/entry/gateway/plain.go
+++ b/entry/gateway/plain.go
@@ -56,6 +56,7 @@
 		return
 	}
 	g.Meters.answered(c.file.Name, "ok")
+	g.limitWrite(w)
 	writePlain(w, answer)
 }
 
--- a/serving/process/settings/settings.go
+++ b/serving/process/settings/settings.go
@@ -87,7 +87,9 @@
 	BodyBytes     int64 `json:"body_bytes,omitempty"`
 	AnswerBytes   int64 `json:"answer_bytes,omitempty"`
 	BodyTimeoutMS int64 `json:"body_timeout_ms,omitempty"`
-	Connections   int   `json:"connections,omitempty"`
+	// WriteTimeoutMS is the longest time that a caller may leave its answer unread.
+	WriteTimeoutMS int64 `json:"write_timeout_ms,omitempty"`
+	Connections    int   `json:"connections,omitempty"`
 }
 
 // BodyTimeout returns the longest time that a caller may take to send a body.
@@ -95,6 +97,11 @@
 	return time.Duration(l.BodyTimeoutMS) * time.Millisecond
 }
 
+// WriteTimeout returns the longest time that a caller may leave its answer unread.
+func (l Limits) WriteTimeout() time.Duration {
+	return time.Duration(l.WriteTimeoutMS) * time.Millisecond
+}
+
 // Routing selects how backend servers are chosen.
 type Routing struct {
 	Policy string `json:"policy,omitempty"`
@@ -132,11 +139,12 @@
 func Defaults() Settings {
 	return Settings{
 		Limits: Limits{
-			HeaderBytes:   16 << 10,
-			BodyBytes:     1 << 20,
-			AnswerBytes:   8 << 20,
-			BodyTimeoutMS: 10_000,
-			Connections:   4_000,
+			HeaderBytes:    16 << 10,
+			BodyBytes:      1 << 20,
+			AnswerBytes:    8 << 20,
+			BodyTimeoutMS:  10_000,
+			WriteTimeoutMS: 30_000,
+			Connections:    4_000,
 		},
 		Routing: Routing{Policy: "papayaport"},
 		Stop:    Stop{GraceMS: 5_000},
@@ -260,6 +268,7 @@
 	c.between("limits.body_bytes", l.BodyBytes, 1<<10, 64<<20)
 	c.between("limits.answer_bytes", l.AnswerBytes, 1<<10, 256<<20)
 	c.between("limits.body_timeout_ms", l.BodyTimeoutMS, 100, 600_000)
+	c.between("limits.write_timeout_ms", l.WriteTimeoutMS, 100, 600_000)
 	c.between("limits.connections", int64(l.Connections), 1, 100_000)
 }
 
