Test late peers' writes, doubled results and the first check of a key

Seen without them: a key is lost when a peer writes a claim whose caller has left; a second result of a swap grants a claim; an expired key costs a swap.

--- a/serving/request/action/table_test.go
+++ b/serving/request/action/table_test.go
@@ -166,6 +166,7 @@
 				require.IsType(t, Swap{}, orders[0])
 				return
 			}
+			require.IsType(t, Resolve{}, orders[0])
 			err := problem.From(orders[0].(Resolve).Err)
 			require.Equal(t, c.kind, err.Kind)
 			require.Equal(t, c.outcome, err.Document("").Outcome)
@@ -311,3 +312,36 @@
 		require.Equal(t, granted, again.phase)
 	}
 }
+
+// A caller leaves while a peer writes its claim; the process is replaced later. The key
+// must not be lost.
+func TestClaimWrittenAfterItsCallerLeft(t *testing.T) {
+	w := calmWorld(t)
+	for range PagesPerBucket {
+		key := w.newKey()
+		r := w.claim(w.nodes[0], key)
+		w.deliver()
+		w.handle(w.nodes[0], w.nodes[0].table.Cancel(w.clock(w.nodes[0]), r.nonce))
+		w.pass(2 * time.Second)
+		w.boot(w.nodes[0])
+		w.pass(100 * time.Millisecond)
+		again := w.claim(w.nodes[1], key)
+		w.pass(time.Second)
+		require.Equal(t, granted, again.phase)
+	}
+}
+
+func TestSecondResultOfSwapIsIgnored(t *testing.T) {
+	now := worldStart
+	table := NewTable(now, Self{Instance: "entry-0", Incarnation: 1}, worldSettings(), rand.New(rand.NewPCG(1, 1)))
+	claim := Claim{Key: keyAt(now, 1), Fingerprint: 7, Window: claimWindow}
+	nonce, orders := table.Claim(now, claim, now.Add(time.Second))
+	first := orders[0].(Swap)
+	value, err := records{}.encode()
+	require.NoError(t, err)
+	orders = table.SwapDone(now, first, StoreResult{State: StoreConflict, Value: value, Revision: 9})
+	require.IsType(t, Swap{}, orders[0])
+
+	require.Empty(t, table.SwapDone(now, first, StoreResult{State: StoreOK, Revision: 10}))
+	require.Equal(t, Resolve{Claim: nonce}, table.SwapDone(now, orders[0].(Swap), StoreResult{State: StoreOK, Revision: 10})[0])
+}
