--- a/serving/process/membership/table.go
+++ b/serving/process/membership/table.go
@@ -15,7 +15,7 @@
 	// ExchangePeriod is the time between two rounds of exchanges.
 	ExchangePeriod = time.Second
 	// DefaultBudget is the usual number of bytes a second, sent and received together.
-	DefaultBudget = 8 << 10
+	DefaultBudget = 7600
 	// homeSilence and awaySilence are the times without a sign of life after which a
 	// member of this failure domain, or of another, is no longer live.
 	homeSilence = 8 * time.Second
