--- a/serving/process/membership/bench_test.go
+++ b/serving/process/membership/bench_test.go
@@ -141,6 +141,34 @@
 	}
 }
 
+// BenchmarkTable reports the cost of merging one message and of reading the totals in a
+// fleet of the target size.
+func BenchmarkTable(b *testing.B) {
+	n, nodes := startFleet(b, targetEntries, targetDomains, 7)
+	n.run(30 * time.Second)
+	table, peer := nodes[0].table, nodes[targetDomains].table
+	requests := table.Tick(n.now.Add(time.Second))
+	reply := peer.Receive(n.now, requests[0].Message)
+	b.Run("receive", func(b *testing.B) {
+		b.ReportAllocs()
+		for range b.N {
+			table.Receive(n.now, reply)
+		}
+	})
+	b.Run("answer", func(b *testing.B) {
+		b.ReportAllocs()
+		for range b.N {
+			peer.Receive(n.now, requests[0].Message)
+		}
+	})
+	b.Run("totals", func(b *testing.B) {
+		b.ReportAllocs()
+		for range b.N {
+			table.Totals(n.now)
+		}
+	})
+}
+
 // BenchmarkWave reports the bytes of the second after all entries of a failure domain and
 // its backend servers got notices at one entry, and when the last entry has heard all.
 func BenchmarkWave(b *testing.B) {
