Wait a while for holders that aren't heard of yet

Cause: TestKeyedRequestAtAllEntriesRunsOnce failed once: right after the start an entry instance didn't know the holder of a key yet, took it for gone and answered answer_lost, unknown. Ruled out: a second run, there was one. Change: only another incarnation proves at once that a holder is gone; one that is neither listed nor heard of counts as gone after 3 s. TestUnseenHolder fails without the wait. TestCutFromStore now cuts the usual writer itself; before it passed also without passing claims on.

--- a/serving/request/action/await.go
+++ b/serving/request/action/await.go
@@ -2,10 +2,14 @@
 
 import "time"
 
+// unseenTime is how long a holder must be neither listed nor heard of to count as gone.
+const unseenTime = 3 * time.Second
+
 // await waits for the outcome of another claim on the same key.
 func (t *Table) await(now time.Time, p *pending, target Record) {
 	if !p.target.sameClaim(target) {
 		p.ownerGone = false
+		p.unseenSince = time.Time{}
 	}
 	p.state = awaiting
 	p.target = target
@@ -97,7 +101,7 @@
 		t.decide(now, p, record)
 		return
 	}
-	if !p.ownerGone && !t.members.gone(p.target.Owner) {
+	if !t.ownerGone(now, p) {
 		p.state = awaiting
 		p.retryAt = now.Add(t.jitter(t.settings.RetryInterval))
 		return
@@ -108,3 +112,22 @@
 	}
 	t.end(now, p, nil, answerLost())
 }
+
+// ownerGone tells whether the holder of the awaited claim has ended. One that is neither
+// listed nor heard of may be new, and is waited for a while.
+func (t *Table) ownerGone(now time.Time, p *pending) bool {
+	if p.ownerGone {
+		return true
+	}
+	switch t.members.presence(p.target.Owner) {
+	case gone:
+		return true
+	case present:
+		p.unseenSince = time.Time{}
+		return false
+	}
+	if p.unseenSince.IsZero() {
+		p.unseenSince = now
+	}
+	return now.Sub(p.unseenSince) >= unseenTime
+}
--- a/serving/request/action/members.go
+++ b/serving/request/action/members.go
@@ -43,18 +43,36 @@
 	return int(min(max(int64(a.Incarnation-b.Incarnation), -1), 1))
 }
 
-// gone tells whether a process is neither listed nor heard of. A list that still
-// shows an older incarnation lags.
-func (m *members) gone(process Member) bool {
+// presence tells what is known of a process.
+type presence uint8
+
+const (
+	// present means that it, or an older incarnation, is listed or heard of.
+	present presence = iota
+	// unseen means that it is neither listed nor heard of; it may be new.
+	unseen
+	// gone means that another incarnation has its place.
+	gone
+)
+
+// presence tells whether a process lives. A list that shows an older incarnation lags.
+func (m *members) presence(process Member) presence {
+	if process.Instance == m.self.Instance && process != m.self {
+		return gone
+	}
 	if process == m.self {
-		return false
+		return present
 	}
 	for _, member := range m.others {
-		if member.Instance == process.Instance && member.Incarnation <= process.Incarnation {
-			return false
+		switch {
+		case member.Instance != process.Instance:
+		case member.Incarnation <= process.Incarnation:
+			return present
+		default:
+			return gone
 		}
 	}
-	return true
+	return unseen
 }
 
 func (m *members) avoid(member Member, until time.Time) { m.avoided[member] = until }
--- a/serving/request/action/pending.go
+++ b/serving/request/action/pending.go
@@ -31,7 +31,9 @@
 	target Record
 	// ownerGone tells that the holder of target is known to be gone.
 	ownerGone bool
-	retryAt   time.Time
+	// unseenSince is when the holder of target was first found neither listed nor heard of.
+	unseenSince time.Time
+	retryAt     time.Time
 
 	// pollAt is when the other members are asked about the key at the latest; they are
 	// asked as soon as a swap with the claim fails.
--- a/serving/request/action/table_test.go
+++ b/serving/request/action/table_test.go
@@ -267,9 +267,13 @@
 // One entry instance is cut from the store; its claims go through the others.
 func TestCutFromStore(t *testing.T) {
 	w := calmWorld(t)
-	w.storeCut = w.nodes[0]
 	for range 3 * PagesPerBucket {
-		r := w.claim(w.nodes[0], w.newKey())
+		key := w.newKey()
+		parsed, err := parseKey(key.claim)
+		require.NoError(t, err)
+		writer := w.nodes[0].table.members.sweeper(parsed.page)
+		w.storeCut = w.find(writer.Instance)
+		r := w.claim(w.storeCut, key)
 		w.pass(time.Second)
 		require.Equal(t, granted, r.phase)
 	}
@@ -345,3 +349,36 @@
 	require.Empty(t, table.SwapDone(now, first, StoreResult{State: StoreOK, Revision: 10}))
 	require.Equal(t, Resolve{Claim: nonce}, table.SwapDone(now, orders[0].(Swap), StoreResult{State: StoreOK, Revision: 10})[0])
 }
+
+// A holder that this process hasn't heard of may be new: it counts as gone only after a while.
+func TestUnseenHolder(t *testing.T) {
+	w := calmWorld(t)
+	key := w.newKey()
+	holder, asker := w.nodes[1], w.nodes[2]
+	first := w.claim(holder, key)
+	w.pass(100 * time.Millisecond)
+	require.Equal(t, granted, first.phase)
+	w.hidden = holder
+	holder.cut = true
+	w.tickAll()
+	second := &request{key: key, arrived: 1 << 30}
+	key.requests = append(key.requests, second)
+	var orders []Order
+	second.nonce, orders = asker.table.Claim(w.clock(asker), key.claim, w.clock(asker).Add(20*time.Second))
+	asker.requests[second.nonce] = second
+	w.handle(asker, orders)
+	breakCalls := func() {
+		for i := range w.bag {
+			w.bag[i].notBefore = w.now
+		}
+		w.pass(500 * time.Millisecond)
+	}
+	for range 5 {
+		breakCalls()
+		require.Equal(t, waiting, second.phase)
+	}
+	for range 4 {
+		breakCalls()
+	}
+	require.Equal(t, ended, second.phase)
+}
--- a/serving/request/action/world_test.go
+++ b/serving/request/action/world_test.go
@@ -105,6 +105,8 @@
 	nextID   uint64
 	// faults are the kinds of fault that this world has.
 	faults map[string]bool
+	// hidden is a process that no list shows.
+	hidden *node
 	// loseAnswer loses the answer of the next swap, with which an outage begins.
 	loseAnswer bool
 	// storeCut is a process that can't reach the store.
@@ -145,6 +147,9 @@
 func (w *world) live() []Member {
 	var live []Member
 	for _, n := range w.nodes {
+		if n == w.hidden {
+			continue
+		}
 		live = append(live, Member{Instance: n.name, Incarnation: n.incarnation})
 	}
 	return live
