Become ready only when the backend servers are known

Cause: an entry instance was ready with its configuration, before it had read an instance list that shows backend servers, and answered no_backend. Ruled out: the leaving set, which came later.

--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -14,6 +14,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -81,6 +82,8 @@
 
 	fleet      *fleet
 	memberList memberList
+	// fleetReady is set once the backend servers were known well enough to serve.
+	fleetReady atomic.Bool
 	// leave is closed when this instance must go.
 	leave     chan struct{}
 	leaveOnce sync.Once
@@ -178,7 +181,7 @@
 	d.actions = action.New(d.store, &actionPeers{d}, self, d.actionMembers, action.DefaultSettings(), d.seeded(), d.entry("action"))
 	connections := pool.New(pool.DefaultOptions)
 	d.gateway = gateway.New(gateway.Parts{
-		Versions: d.keeper, Routes: d.routes, Admission: d.admission, Retries: d.retries,
+		Versions: &servable{d}, Routes: d.routes, Admission: d.admission, Retries: d.retries,
 		Actions: d.actions, Peers: &requestPeers{d}, Pool: connections,
 		Sender: plain.New(connections, dialTimeout, d.set.Limits.AnswerBytes),
 		Meters: gateway.NewMeters(d.meters), Limits: d.set.Limits, Clock: time.Now, Log: d.entry("gateway"),
--- a/entry/daemon/fleet.go
+++ b/entry/daemon/fleet.go
@@ -34,6 +34,8 @@
 	mu        sync.Mutex
 	instances []platform.Instance
 	heard     time.Time
+	// first is when the first list was read.
+	first time.Time
 	// polled is when each engine last answered.
 	polled map[string]time.Time
 	loads  map[string]engine.Load
@@ -48,6 +50,9 @@
 	defer f.mu.Unlock()
 	f.instances = list
 	f.heard = now
+	if f.first.IsZero() {
+		f.first = time.Now()
+	}
 	known := map[string]bool{}
 	for _, inst := range list {
 		known[inst.ID] = true
--- /dev/null
+++ b/entry/daemon/ready_test.go
@@ -0,0 +1,25 @@
+package daemon
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"papayaport.dev/serving/process/platform"
+)
+
+func TestReadyOnceTheFleetIsKnown(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	d, err := New(testSettings(t, "entry-1", "http://127.0.0.1:1"), log)
+	require.NoError(t, err)
+	now := time.Now()
+	require.False(t, d.fleetKnown(now.Add(time.Hour)), "no list was read")
+	d.fleet.set([]platform.Instance{{ID: "entry-2", Role: platform.EntryRole}}, now)
+	require.False(t, d.fleetKnown(now), "the list shows no backend server")
+	require.True(t, d.fleetKnown(now.Add(fleetWait+time.Second)), "the wait is over")
+	require.True(t, d.fleetKnown(now), "ready for good")
+}
--- a/entry/daemon/serve.go
+++ b/entry/daemon/serve.go
@@ -142,16 +142,6 @@
 	writeProcessMetrics(w)
 }
 
-func (d *Daemon) ready() error {
-	if d.gateway.Draining() {
-		return problem.New(problem.Leaving, "draining")
-	}
-	if !d.keeper.Ready() {
-		return problem.New(problem.NotReady, "no configuration yet")
-	}
-	return nil
-}
-
 // limitHeaders refuses requests whose headers pass the limit.
 func (d *Daemon) limitHeaders(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
