Let cached prompts wait by what their loss would cost

The part of the target beyond the headroom now grows with the time that computing the prompt elsewhere takes.

Seen to fail: without the rule, and with the whole target for all, one case each of the test for cached work that may wait longer.

--- a/serving/request/route/papayaport.go
+++ b/serving/request/route/papayaport.go
@@ -14,10 +14,13 @@
 	// other prefixes and leads further prompts astray.
 	recomputeShare = 2
 	// homeWork is the work of a server up to which it is a home for new prefixes.
-	homeWork = 0.5
+	homeWork = 0.4
 	// headroom is the share of the latency target that estimates may use. The servers
 	// that are picked are those whose estimates err to the low side more often than not.
 	headroom = 0.6
+	// stakeWeight is the part of the target that a cached prompt may use beyond the headroom,
+	// for each part that computing the prompt elsewhere takes.
+	stakeWeight = 2
 	// tieShare is the relative range of cost within which candidates count as equal, so
 	// that entry instances with the same knowledge do not all take the same server.
 	tieShare = 0.02
@@ -36,7 +39,7 @@
 	if p.home && len(request.Blocks) > 0 {
 		home = boundedHome(candidates[:needed(candidates)])
 	}
-	best := mostCached(candidates)
+	best, least := cachedRange(candidates)
 	cheapest, lowestCost := -1, 0.0
 	fastest, lowestTime := -1, 0.0
 	for i := range candidates {
@@ -51,7 +54,7 @@
 		if fastest < 0 || time < lowestTime {
 			fastest, lowestTime = i, time
 		}
-		if !p.price || !meets(c, request, share(lost)) {
+		if !p.price || !meets(c, request, share(c, request, best, least)) {
 			continue
 		}
 		cost := jitter * (c.Cost + lost*c.backend.speed.price)
@@ -65,22 +68,24 @@
 	return cheapest
 }
 
-// mostCached returns the largest number of cached tokens at any candidate.
-func mostCached(candidates []Candidate) int {
-	most := 0
+// cachedRange returns the largest and the smallest number of cached tokens at a candidate.
+func cachedRange(candidates []Candidate) (most, least int) {
+	least = candidates[0].CachedTokens
 	for i := range candidates {
 		most = max(most, candidates[i].CachedTokens)
+		least = min(least, candidates[i].CachedTokens)
 	}
-	return most
+	return most, least
 }
 
-// share returns the share of the latency target that a candidate's estimates may use: all
-// of it where no cached work is lost.
-func share(lost float64) float64 {
-	if lost <= 0 {
-		return 1
+// share returns the share of the latency target that a candidate's estimates may use: the
+// headroom, and more where the prompt is cached, by the time that its loss would cost.
+func share(c *Candidate, request *Request, best, least int) float64 {
+	if c.CachedTokens < best || request.Target.FirstTokenMS <= 0 {
+		return headroom
 	}
-	return headroom
+	saved := milliseconds(c.backend.speed.prefillTime(best - least))
+	return min(headroom+stakeWeight*saved/request.Target.FirstTokenMS, 1)
 }
 
 // meets tells whether the candidate's estimates keep a share of the request's latency target.
@@ -97,15 +102,15 @@
 	return float64(d) / float64(time.Millisecond)
 }
 
-// needed returns how many servers, cheapest first, do all the present work; half of them
-// at least, because a burst of new prefixes comes before reports tell of it. New prefixes
+// needed returns how many servers, cheapest first, do all the present work, and half of
+// all more, because a burst of new prefixes comes before reports tell of it. New prefixes
 // have their homes there, so that the others stay idle and entry instances still agree.
 func needed(candidates []Candidate) int {
 	total := 0.0
 	for i := range candidates {
 		total += candidates[i].Work
 	}
-	return min(max(int(total/homeWork)+1, (len(candidates)+1)/2), len(candidates))
+	return min(int(total/homeWork)+1+len(candidates)/2, len(candidates))
 }
 
 // boundedHome returns the first candidate in rendezvous order that has a free slot, or
