Count engines' own reports into a failure domain's demand

Cause: above 32 entry instances peers' use of single backend servers is not exchanged, so that the capacity plan saw only its own requests; and its rule of 5 s for hearing everyone is not met by the exchange at that size. Demand takes the larger of known use and the server's report, and liveness is membership's.

--- a/entry/daemon/capacity.go
+++ b/entry/daemon/capacity.go
@@ -14,8 +14,6 @@
 const (
 	capacityPeriod = time.Second
 	pricesPeriod   = 15 * time.Second
-	// heardLately is the age up to which an entry instance's report of its use counts.
-	heardLately = 5 * time.Second
 )
 
 // engineOrders gives orders to engines.
@@ -113,8 +111,9 @@
 		if inst.FailureDomain != d.set.FailureDomain {
 			continue
 		}
-		load.inFlight[inst.Service] += use[inst.ID]
-		load.reports[inst.Service] = append(load.reports[inst.Service], d.report(inst, use[inst.ID], allHeard))
+		report := d.report(inst, use[inst.ID], allHeard)
+		load.inFlight[inst.Service] += report.InUse
+		load.reports[inst.Service] = append(load.reports[inst.Service], report)
 	}
 	load.domains = max(1, len(domains))
 	return load
@@ -132,16 +131,16 @@
 	return use
 }
 
-// allHeard tells whether every other listed entry instance was heard of lately.
+// allHeard tells whether every other listed entry instance is live.
 func (d *Daemon) allHeard(now time.Time) bool {
-	heard := map[string]time.Time{}
+	live := map[string]bool{}
 	for _, member := range d.members.Members(now) {
-		heard[member.Instance] = member.Heard
+		live[member.Instance] = member.Live
 	}
 	list, _ := d.fleet.list()
 	for _, inst := range list {
 		other := inst.Role == platform.EntryRole && inst.ID != d.set.Instance
-		if other && now.Sub(heard[inst.ID]) > heardLately {
+		if other && !live[inst.ID] {
 			return false
 		}
 	}
