Give all servers of a service the same margin for errors

Cause: the margin at the target's quantile followed each server's own errors, so that servers that were hardly tried looked surer than those that hold the prompts, and drew filings away.

Seen to fail: without the margin, and with a mean that takes nothing in.

--- a/serving/request/route/attempt.go
+++ b/serving/request/route/attempt.go
@@ -81,7 +81,8 @@
 // observe compares the time to the first token with its estimate, if there was one.
 func (a *attempt) observe(now moment) {
 	if a.estimated > 0 {
-		a.backend.observed.add(now, now.since(a.sentAt), a.estimated)
+		difference := a.backend.observed.add(now, now.since(a.sentAt)-a.estimated)
+		a.backend.group.errors.add(now, difference)
 	}
 }
 
--- a/serving/request/route/backend.go
+++ b/serving/request/route/backend.go
@@ -120,6 +120,7 @@
 	known    *knowledge
 	hot      *simplelru.LRU[prefix.Block, *hits]
 	columns  []*backend
+	errors   deviations
 }
 
 // newGroup returns a service without backend servers.
--- a/serving/request/route/backend_test.go
+++ b/serving/request/route/backend_test.go
@@ -275,3 +275,22 @@
 	require.Equal(t, id(1), choose(t, table, now.Add(time.Second), request).Backend.ID)
 	require.Equal(t, id(0), choose(t, table, now.Add(time.Minute), request).Backend.ID)
 }
+
+// TestErrorsOfOneServerCountForAll lets one server answer by turns at once and late, and
+// looks at the estimate for another that was never tried.
+func TestErrorsOfOneServerCountForAll(t *testing.T) {
+	table := newTable(t, route.Papayaport, 2)
+	request := route.Request{Service: "model-bench", PromptTokens: 100, AnswerTokens: 20, Target: target, Exclude: []string{id(0)}}
+	before := choose(t, table, start, request).FirstToken
+	now := start
+	request.Exclude = []string{id(1)}
+	for i := range 40 {
+		attempt := fmt.Sprint(i)
+		send(t, table, now, attempt, request)
+		now = now.Add(10*time.Millisecond + time.Duration(i%2)*400*time.Millisecond)
+		table.FirstToken(now, attempt, 0)
+		table.Done(now, attempt, route.OK, 0)
+	}
+	request.Exclude = []string{id(0)}
+	require.Greater(t, choose(t, table, now, request).FirstToken, before+100*time.Millisecond)
+}
--- a/serving/request/route/choose.go
+++ b/serving/request/route/choose.go
@@ -39,7 +39,7 @@
 func (t *Table) ask(now time.Time, g *group) question {
 	q := question{
 		now: at(now), request: &t.request, hasBlocks: len(t.request.Blocks) > 0,
-		answerTokens: t.request.AnswerTokens, spread: spread(t.request.Target),
+		answerTokens: t.request.AnswerTokens, margin: g.errors.margin(at(now), spread(t.request.Target)),
 	}
 	if q.answerTokens <= 0 {
 		q.answerTokens = usualAnswerTokens
--- a/serving/request/route/estimate.go
+++ b/serving/request/route/estimate.go
@@ -36,8 +36,8 @@
 	// depths holds the known blocks by column; nil means none.
 	depths       []int32
 	answerTokens int
-	// spread is the number of standard deviations at the target's quantile.
-	spread float64
+	// margin is what estimates need on top at the target's quantile.
+	margin time.Duration
 }
 
 // reportFresh tells whether the last report still says something about the load.
@@ -125,7 +125,7 @@
 	c.mean += slotWait(c.InFlight, b.speed.slots, decode)
 	c.FirstToken = c.mean
 	if t.parts.health {
-		c.FirstToken = b.observed.adjust(q.now, c.mean, q.spread) + b.stall(q.now)
+		c.FirstToken = max(c.mean+b.observed.lateness(q.now)+q.margin, c.mean/2) + b.stall(q.now)
 	}
 	sharers := min(c.InFlight+1, b.speed.slots)
 	c.Cost = b.speed.prefillCost(uncached) + float64(decode)/float64(sharers)*b.speed.price
--- a/serving/request/route/health.go
+++ b/serving/request/route/health.go
@@ -10,8 +10,12 @@
 	// Weights of a new observation when it is worse or better than expected.
 	worseWeight  = 0.3
 	betterWeight = 0.1
-	// firstDeviation is the mean absolute error of estimates before any observation.
+	// firstDeviation is the smallest mean absolute error that estimates are given.
 	firstDeviation = 20 * time.Millisecond
+	// deviationHalfLife is the time in which half of a service's mean error is forgotten.
+	deviationHalfLife = 15 * time.Second
+	// deviationWeight is the weight of a new error in the mean of a service.
+	deviationWeight = 0.05
 	// errorHalfLife is the time in which a server without observations wins half of its
 	// reputation back.
 	errorHalfLife = 3 * time.Second
@@ -41,34 +45,54 @@
 // observed compares what a server did with what was estimated.
 type observed struct {
 	// late is the mean time by which first tokens came later than estimated.
-	late time.Duration
-	// deviation is the mean absolute difference from late.
-	deviation time.Duration
-	at        moment
-	between   time.Duration
+	late    time.Duration
+	at      moment
+	between time.Duration
 }
 
-// add takes in one time to first token.
-func (o *observed) add(now moment, seen, estimated time.Duration) {
-	o.decay(now)
-	difference := seen - estimated - o.late
+// add takes in a first token that came some time later than the mean estimate, and
+// returns by how much that differs from the mean so far.
+func (o *observed) add(now moment, late time.Duration) time.Duration {
+	o.late, o.at = o.lateness(now), now
+	difference := late - o.late
 	weight := betterWeight
 	if difference > 0 {
 		weight = worseWeight
 	}
-	o.deviation += time.Duration(weight * float64(max(difference, -difference)-o.deviation))
 	o.late += time.Duration(weight * float64(difference))
+	return max(difference, -difference)
 }
 
-// decay moves the errors back towards those of a new server as time passes.
-func (o *observed) decay(now moment) {
-	if o.at == 0 {
-		o.deviation, o.at = firstDeviation, now
+// lateness returns the mean lateness, which fades as time passes without observations.
+func (o *observed) lateness(now moment) time.Duration {
+	if o.late == 0 {
+		return 0
 	}
-	kept := math.Exp2(-now.since(o.at).Seconds() / errorHalfLife.Seconds())
-	o.late = time.Duration(float64(o.late) * kept)
-	o.deviation = firstDeviation + time.Duration(float64(o.deviation-firstDeviation)*kept)
-	o.at = now
+	return fade(o.late, now.since(o.at), errorHalfLife)
+}
+
+// fade halves a time with every half-life that passed.
+func fade(d, passed, halfLife time.Duration) time.Duration {
+	return time.Duration(float64(d) * math.Exp2(-passed.Seconds()/halfLife.Seconds()))
+}
+
+// deviations holds how far estimates were off at all servers of a service. It is one
+// figure for all, so that servers without observations don't look surer than others.
+type deviations struct {
+	mean time.Duration
+	at   moment
+}
+
+// add takes in the absolute difference of one observation from its server's mean.
+func (d *deviations) add(now moment, difference time.Duration) {
+	d.mean, d.at = fade(d.mean, now.since(d.at), deviationHalfLife), now
+	d.mean += time.Duration(deviationWeight * float64(difference-d.mean))
+}
+
+// margin returns what estimates need on top at a number of standard deviations.
+func (d *deviations) margin(now moment, spread float64) time.Duration {
+	mean := max(fade(d.mean, now.since(d.at), deviationHalfLife), firstDeviation)
+	return time.Duration(spread * absoluteDeviation * float64(mean))
 }
 
 // addBetween takes in one time between tokens.
@@ -80,18 +104,6 @@
 	o.between += time.Duration(betweenWeight * float64(seen-o.between))
 }
 
-// adjust turns an estimate into one at the wanted number of standard deviations.
-func (o *observed) adjust(now moment, estimate time.Duration, spread float64) time.Duration {
-	late, deviation := time.Duration(0), firstDeviation
-	if o.at != 0 {
-		kept := math.Exp2(-now.since(o.at).Seconds() / errorHalfLife.Seconds())
-		late = time.Duration(float64(o.late) * kept)
-		deviation += time.Duration(float64(o.deviation-firstDeviation) * kept)
-	}
-	adjusted := estimate + late + time.Duration(spread*absoluteDeviation*float64(deviation))
-	return max(adjusted, estimate/2)
-}
-
 // health is the trust in a server that follows from its results.
 type health struct {
 	// distrust is 1 minus the trust, so that the zero value is full trust.
