--- a/entry/daemon/capacity.go
+++ b/entry/daemon/capacity.go
@@ -27,7 +27,7 @@
 // Drain tells all entry instances that a backend server gets no new work.
 func (d *Daemon) Drain(stop capacity.PlannedStop, within time.Duration) {
 	d.notice(stop.Instance, stop.Incarnation, within)
-	d.heed()
+	d.applyChanges()
 }
 
 func (d *Daemon) joinCapacity() {
--- a/entry/daemon/exchange.go
+++ b/entry/daemon/exchange.go
@@ -27,14 +27,14 @@
 	return every(ctx, membership.TickPeriod, func(_ context.Context, now time.Time) {
 		if now.Sub(told) >= localPeriod {
 			told = now
-			d.tellLocal(now)
+			d.publishLocal(now)
 		}
 		d.send(d.members.Tick(now))
-		d.heed()
+		d.applyChanges()
 	})
 }
 
-func (d *Daemon) tellLocal(now time.Time) {
+func (d *Daemon) publishLocal(now time.Time) {
 	head := d.keeper.HeadOf()
 	d.members.SetLocal(now, membership.Local{
 		ConfigVersion: head.Version, ManifestHash: string(head.Manifest),
@@ -62,22 +62,22 @@
 		return
 	}
 	d.members.Receive(time.Now(), reply)
-	d.heed()
+	d.applyChanges()
 }
 
-// heed acts on what was heard from peers and platform.
-func (d *Daemon) heed() {
+// applyChanges acts on what was heard from peers and platform.
+func (d *Daemon) applyChanges() {
 	for _, change := range d.members.Changes() {
 		switch heard := change.(type) {
 		case membership.LeavingHeard:
-			d.heedLeaving(heard.Leaving)
+			d.applyLeaving(heard.Leaving)
 		case membership.ConfigHeard:
 			d.keeper.Offer(heard.Config.Address, heard.Config.Version, heard.Config.ManifestHash)
 		}
 	}
 }
 
-func (d *Daemon) heedLeaving(leaving membership.Leaving) {
+func (d *Daemon) applyLeaving(leaving membership.Leaving) {
 	if leaving.Instance != d.set.Instance {
 		if d.capacity != nil {
 			d.capacity.Notice(leaving.Instance, leaving.Incarnation)
--- a/entry/daemon/fleet.go
+++ b/entry/daemon/fleet.go
@@ -130,7 +130,7 @@
 			d.notice(inst.ID, inst.Incarnation, time.Duration(inst.LeaveInMS)*time.Millisecond)
 		}
 	}
-	d.heed()
+	d.applyChanges()
 }
 
 func (d *Daemon) applyBackends(now time.Time, list []platform.Instance) {
@@ -179,7 +179,7 @@
 		for _, notice := range notices.Notices {
 			d.notice(notice.Instance, notice.Incarnation, time.Duration(notice.LeaveInMS)*time.Millisecond)
 		}
-		d.heed()
+		d.applyChanges()
 	}
 	return ctx.Err()
 }
@@ -216,7 +216,7 @@
 			}
 			next[inst.ID] = now.Add(period)
 			group.Go(func() error {
-				d.lookAt(ctx, inst)
+				d.pollEngine(ctx, inst)
 				return nil
 			})
 		}
@@ -236,7 +236,7 @@
 	return engines
 }
 
-func (d *Daemon) lookAt(ctx context.Context, inst platform.Instance) {
+func (d *Daemon) pollEngine(ctx context.Context, inst platform.Instance) {
 	ctx, cancel := context.WithTimeout(ctx, engineTimeout)
 	defer cancel()
 	client := engine.New(d.control, inst.Address)
@@ -249,7 +249,7 @@
 	d.routes.Report(now, inst.ID, load)
 	if load.Leaving {
 		d.notice(inst.ID, max(load.Incarnation, inst.Incarnation), time.Duration(load.LeaveInMS)*time.Millisecond)
-		d.heed()
+		d.applyChanges()
 	}
 	after, snapshot := d.routes.CacheCursor(inst.ID)
 	events, err := client.Events(ctx, after, snapshot)
--- a/entry/daemon/node.go
+++ b/entry/daemon/node.go
@@ -46,7 +46,7 @@
 func (n *node) Drain(_ context.Context, id string) error {
 	if id == "" || id == n.d.set.Instance {
 		n.d.gateway.Drain(true)
-		n.d.tellLocal(time.Now())
+		n.d.publishLocal(time.Now())
 		return nil
 	}
 	inst, found := n.d.fleet.find(id)
@@ -54,7 +54,7 @@
 		return problem.New(problem.BadRequest, "no backend server %q in the instance list", id)
 	}
 	n.d.notice(inst.ID, inst.Incarnation, drainTime)
-	n.d.heed()
+	n.d.applyChanges()
 	return nil
 }
 
@@ -64,7 +64,7 @@
 		return problem.New(problem.BadRequest, "the drain of a backend server lasts until it starts again")
 	}
 	n.d.gateway.Drain(false)
-	n.d.tellLocal(time.Now())
+	n.d.publishLocal(time.Now())
 	return nil
 }
 
--- a/entry/daemon/peers.go
+++ b/entry/daemon/peers.go
@@ -158,7 +158,7 @@
 // Exchange takes in a membership message.
 func (h *handler) Exchange(_ context.Context, message membership.Message) (membership.Message, error) {
 	reply := h.d.members.Receive(time.Now(), message)
-	h.d.heed()
+	h.d.applyChanges()
 	return reply, nil
 }
 
--- a/entry/gateway/gate.go
+++ b/entry/gateway/gate.go
@@ -22,8 +22,8 @@
 	return &gate{table: table, clock: clock, waiting: map[string]chan admission.Order{}}
 }
 
-// enter waits until a request is admitted. The error is a *problem.Error.
-func (g *gate) enter(ctx context.Context, ask admission.Ask) error {
+// admit waits until a request is admitted. The error is a *problem.Error.
+func (g *gate) admit(ctx context.Context, ask admission.Ask) error {
 	wake := make(chan admission.Order, 1)
 	g.mu.Lock()
 	g.waiting[ask.RequestID] = wake
@@ -61,8 +61,8 @@
 	delete(g.waiting, id)
 }
 
-// leave ends an admitted request that took a number of tokens.
-func (g *gate) leave(id string, tokens int) { g.carryOut(g.table.Done(g.clock(), id, tokens)) }
+// release ends an admitted request that took a number of tokens.
+func (g *gate) release(id string, tokens int) { g.carryOut(g.table.Done(g.clock(), id, tokens)) }
 
 func (g *gate) tick(now time.Time) { g.carryOut(g.table.Tick(now)) }
 
--- a/entry/gateway/generate.go
+++ b/entry/gateway/generate.go
@@ -43,11 +43,11 @@
 	defer cancel()
 	end, ok := g.attempts(ctx, r)
 	if !ok {
-		g.follow(r)
+		g.continueElsewhere(r)
 		return
 	}
 	r.finish(g.Clock(), end)
-	g.gate.leave(r.key, r.promptSize+r.log.Tokens())
+	g.gate.release(r.key, r.promptSize+r.log.Tokens())
 	if end.Err == nil {
 		g.Retries.Success(r.file.Name)
 	}
@@ -65,7 +65,7 @@
 		if err == nil {
 			return end, true
 		}
-		if errors.Is(err, errHandedOn) {
+		if errors.Is(err, errHandedOver) {
 			return answer.End{}, false
 		}
 		if cause := context.Cause(ctx); cause != nil {
@@ -74,7 +74,7 @@
 		if errors.Is(err, errMoved) {
 			continue
 		}
-		if err := g.again(ctx, r, choice, err); err != nil {
+		if err := g.retry(ctx, r, choice, err); err != nil {
 			return endWith(err), true
 		}
 	}
@@ -123,9 +123,9 @@
 	}
 }
 
-// again waits before the next attempt, or tells why there is none. Leaving a backend
+// retry waits before the next attempt, or tells why there is none. Leaving a backend
 // server whose end was announced costs nothing of the retry budget.
-func (g *Gateway) again(ctx context.Context, r *run, choice route.Choice, cause error) error {
+func (g *Gateway) retry(ctx context.Context, r *run, choice route.Choice, cause error) error {
 	r.exclude(choice.Backend.ID)
 	if _, leaving := g.Routes.IsLeaving(choice.Backend.ID); leaving {
 		return nil
@@ -153,7 +153,7 @@
 	a := &attempt{choice: choice, started: g.Clock(), cancel: cancel, number: r.nextAttempt()}
 	a.id = fmt.Sprintf("%s.%d", r.id, a.number)
 	if !r.begin(a) {
-		return answer.End{}, errHandedOn
+		return answer.End{}, errHandedOver
 	}
 	g.Meters.attempted(r.file.Name)
 	g.Routes.Sent(a.started, a.id, choice, r.routeRequest())
--- a/entry/gateway/move.go
+++ b/entry/gateway/move.go
@@ -73,7 +73,7 @@
 	if _, leaving := g.Routes.IsLeaving(id); !leaving {
 		return
 	}
-	g.moves.note(id, deadline)
+	g.moves.markLeaving(id, deadline)
 	g.moves.tick(now)
 }
 
@@ -83,7 +83,7 @@
 	m.backends = list
 }
 
-func (m *mover) note(id string, deadline time.Time) {
+func (m *mover) markLeaving(id string, deadline time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if known, found := m.leaving[id]; found && !deadline.Before(known) {
@@ -194,7 +194,7 @@
 	}
 	var work []reclaim.Work
 	for _, r := range m.gateway.runs.all() {
-		current, handedTo := r.place()
+		current, handedTo := r.location()
 		if current == nil || handedTo != "" || !gone[current.choice.Backend.ID] {
 			continue
 		}
@@ -219,7 +219,7 @@
 }
 
 func (m *mover) carryOut(order reclaim.Order, r *run) {
-	current, _ := r.place()
+	current, _ := r.location()
 	if current == nil || current.choice.Backend.ID != order.From {
 		return
 	}
--- a/entry/gateway/plain.go
+++ b/entry/gateway/plain.go
@@ -106,14 +106,14 @@
 // admitPlain waits for the request's turn and sends it.
 func (g *Gateway) admitPlain(ctx context.Context, p *plainRun) (plain.Answer, error) {
 	id := p.call.file.Name + "/" + p.call.account.Name + "/" + p.call.id + "/" + fmt.Sprint(p.call.received.UnixNano())
-	err := g.gate.enter(ctx, admission.Ask{
+	err := g.gate.admit(ctx, admission.Ask{
 		RequestID: id, Service: p.call.file.Name, Account: p.call.account.Name,
 		Priority: p.call.priority, Deadline: p.call.deadline,
 	})
 	if err != nil {
 		return plain.Answer{}, err
 	}
-	defer g.gate.leave(id, 0)
+	defer g.gate.release(id, 0)
 	return g.sendPlain(ctx, p)
 }
 
@@ -165,7 +165,7 @@
 			g.Retries.Success(p.call.file.Name)
 			return answer, nil
 		}
-		if err := g.againPlain(ctx, p, choice, err); err != nil {
+		if err := g.retryPlain(ctx, p, choice, err); err != nil {
 			return plain.Answer{}, err
 		}
 	}
@@ -248,8 +248,8 @@
 	return route.Failed
 }
 
-// againPlain waits before the next attempt, or tells what is known of the last one.
-func (g *Gateway) againPlain(ctx context.Context, p *plainRun, choice route.Choice, cause error) error {
+// retryPlain waits before the next attempt, or tells what is known of the last one.
+func (g *Gateway) retryPlain(ctx context.Context, p *plainRun, choice route.Choice, cause error) error {
 	notRun := errors.Is(cause, errNotRun)
 	g.Log.WithFields(logrus.Fields{"request_id": p.call.id, "backend": choice.Backend.ID}).
 		Warn("gateway: attempt failed: " + cause.Error())
--- a/entry/gateway/remote.go
+++ b/entry/gateway/remote.go
@@ -73,7 +73,7 @@
 	ctx, cancel := context.WithDeadlineCause(r.ctx, r.deadline, errDeadline)
 	defer cancel()
 	for try := 0; try < mirrorTries && r.log.Ended() == nil; try++ {
-		_, address := r.place()
+		_, address := r.location()
 		_ = g.Peers.Attach(ctx, address, r.key, int64(r.log.Tokens()), func(data []byte) error {
 			try = 0
 			return g.mirrorPiece(r, data)
@@ -117,15 +117,15 @@
 func (g *Gateway) HandOver() int {
 	count := 0
 	for _, r := range g.runs.all() {
-		if g.handOn(r) {
+		if g.requestHandOver(r) {
 			count++
 		}
 	}
 	return count
 }
 
-// handOn ends a run's attempt, so that its goroutine hands the run over.
-func (g *Gateway) handOn(r *run) bool {
+// requestHandOver ends a run's attempt, so that its goroutine hands the run over.
+func (g *Gateway) requestHandOver(r *run) bool {
 	addresses := g.Peers.Ranked(r.key)
 	if len(addresses) == 0 {
 		return false
@@ -137,15 +137,15 @@
 	}
 	r.handedTo = addresses[0]
 	if r.current != nil {
-		r.current.cancel(errHandedOn)
+		r.current.cancel(errHandedOver)
 	}
 	return true
 }
 
-// follow hands a run over and forwards its answer from there. If no peer takes it, it
+// continueElsewhere hands a run over and forwards its answer from there. If no peer takes it, it
 // goes on here.
-func (g *Gateway) follow(r *run) {
-	g.gate.leave(r.key, r.promptSize+r.log.Tokens())
+func (g *Gateway) continueElsewhere(r *run) {
+	g.gate.release(r.key, r.promptSize+r.log.Tokens())
 	address, err := g.handRunOver(r)
 	if err != nil {
 		g.Log.WithField("request_id", r.id).Warn("gateway: hand-over failed: " + err.Error())
@@ -256,7 +256,7 @@
 	if !found {
 		return false
 	}
-	_, handedTo := r.place()
+	_, handedTo := r.location()
 	return handedTo == "" || r.log.Ended() != nil
 }
 
--- a/entry/gateway/runs.go
+++ b/entry/gateway/runs.go
@@ -169,7 +169,7 @@
 	return r.away
 }
 
-func (r *run) place() (*attempt, string) {
+func (r *run) location() (*attempt, string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.current, r.handedTo
@@ -273,5 +273,5 @@
 var (
 	errEnded     = problem.New(problem.Internal, "the request has ended")
 	errAbandoned = problem.New(problem.DeadlineExceeded, "the caller left")
-	errHandedOn  = problem.New(problem.Leaving, "the request went to another instance")
+	errHandedOver  = problem.New(problem.Leaving, "the request went to another instance")
 )
