Make the proof of closed connections able to fail

Cause: with net/http's repeat let loose (a rewindable body on a kept connection) TestClosedConnectionDoesNotRepeatRequest still passed, because its attempts met no kept connection.

--- a/standin/proof/atmostonce_test.go
+++ b/standin/proof/atmostonce_test.go
@@ -1,7 +1,9 @@
 package proof
 
 import (
+	"context"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -9,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"papayaport.dev/serving/process/problem"
+	"papayaport.dev/standin/caller"
 	"papayaport.dev/standin/launch"
 	"papayaport.dev/standin/plain"
 	"papayaport.dev/standin/store"
@@ -128,10 +131,7 @@
 	ctx, s := start(t, launch.Plan{Tenants: []string{tenants.Rahmeh}, EnginesPerDomain: -1, Entries: 8})
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			setServices(ctx, t, s, plain.Faults{})
-			for range 4 { // connections to the services are open and idle afterwards
-				sendToAll(ctx, t, s.Entries, newBooking(t))
-			}
+			keepConnections(ctx, t, s.Entries[0])
 			setServices(ctx, t, s, plain.Faults{CloseAfterRead: true, RunBeforeClose: test.ran, PostOnly: true})
 			keyed := newBooking(t)
 			unkeyed := action{path: "/charges", id: uuid.NewString()}
@@ -150,6 +150,22 @@
 	}
 }
 
+// keepConnections leaves open idle connections from an entry instance to all plain services.
+func keepConnections(ctx context.Context, t *testing.T, p *launch.Process) {
+	t.Helper()
+	tenant := rahmeh(t)
+	c := caller.New(&http.Client{}, p.URL(), tenants.Key(tenant.Accounts[1]))
+	var group sync.WaitGroup
+	for range 12 {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			_, _ = c.Call(ctx, caller.Call{Method: http.MethodGet, Path: "/" + tenant.Plain + "/status/urn-1"})
+		}()
+	}
+	group.Wait()
+}
+
 // A key outside the retry window never runs, and neither does one from the future.
 func TestKeyOutsideWindowDoesNotRun(t *testing.T) {
 	ctx, s := start(t, launch.Plan{Tenants: []string{tenants.Rahmeh}, EnginesPerDomain: -1, Entries: 4})
