--- a/entry/daemon/fleet.go
+++ b/entry/daemon/fleet.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"papayaport.dev/serving/connection/engine"
+	"papayaport.dev/serving/process/clock"
 	"papayaport.dev/serving/process/membership"
 	"papayaport.dev/serving/process/platform"
 	"papayaport.dev/serving/request/route"
@@ -172,7 +173,7 @@
 	for ctx.Err() == nil {
 		notices, err := d.cloud.Notices(ctx, after, noticeWait)
 		if err != nil {
-			_ = pause(ctx, platformWait)
+			_ = clock.Sleep(ctx, platformWait)
 			continue
 		}
 		after = notices.Next
@@ -184,17 +185,6 @@
 	return ctx.Err()
 }
 
-func pause(ctx context.Context, wait time.Duration) error {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // notice takes in that an incarnation goes, and tells the peers at once.
 func (d *Daemon) notice(id string, incarnation uint64, left time.Duration) {
 	now := time.Now()
--- a/entry/gateway/generate.go
+++ b/entry/gateway/generate.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"papayaport.dev/serving/connection/engine"
+	"papayaport.dev/serving/process/clock"
 	"papayaport.dev/serving/process/problem"
 	"papayaport.dev/serving/request/answer"
 	"papayaport.dev/serving/request/retry"
@@ -94,7 +95,7 @@
 		if !begun {
 			return route.Choice{}, err
 		}
-		if err := sleep(ctx, backendWait); err != nil {
+		if err := clock.Sleep(ctx, backendWait); err != nil {
 			return route.Choice{}, err
 		}
 	}
@@ -112,17 +113,6 @@
 	return g.Routes.Choose(g.Clock(), r.routeRequest())
 }
 
-func sleep(ctx context.Context, wait time.Duration) error {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return context.Cause(ctx)
-	}
-}
-
 // retry waits before the next attempt, or tells why there is none. Leaving a backend
 // server whose end was announced costs nothing of the retry budget.
 func (g *Gateway) retry(ctx context.Context, r *run, choice route.Choice, cause error) error {
@@ -143,7 +133,7 @@
 		return afterAttempt(err)
 	}
 	g.Meters.retried(r.file.Name)
-	return sleep(ctx, wait)
+	return clock.Sleep(ctx, wait)
 }
 
 // attempt sends a run to a backend server once and reads its answer.
--- a/entry/gateway/plain.go
+++ b/entry/gateway/plain.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"papayaport.dev/serving/connection/plain"
+	"papayaport.dev/serving/process/clock"
 	"papayaport.dev/serving/process/problem"
 	"papayaport.dev/serving/request/action"
 	"papayaport.dev/serving/request/admission"
@@ -266,7 +267,7 @@
 		return p.givenUp(err)
 	}
 	g.Meters.retried(p.call.file.Name)
-	if err := sleep(ctx, wait); err != nil {
+	if err := clock.Sleep(ctx, wait); err != nil {
 		return p.givenUp(err)
 	}
 	return nil
--- a/entry/gateway/remote.go
+++ b/entry/gateway/remote.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
+	"papayaport.dev/serving/process/clock"
 	"papayaport.dev/serving/process/problem"
 	"papayaport.dev/serving/request/answer"
 	"papayaport.dev/serving/request/handover"
@@ -78,7 +79,7 @@
 			try = 0
 			return g.mirrorPiece(r, data)
 		})
-		if r.log.Ended() != nil || sleep(ctx, mirrorWait) != nil {
+		if r.log.Ended() != nil || clock.Sleep(ctx, mirrorWait) != nil {
 			break
 		}
 		if moved, err := g.locate(ctx, r.key); err == nil {
--- a/entry/gateway/runs.go
+++ b/entry/gateway/runs.go
@@ -271,7 +271,7 @@
 }
 
 var (
-	errEnded     = problem.New(problem.Internal, "the request has ended")
-	errAbandoned = problem.New(problem.DeadlineExceeded, "the caller left")
-	errHandedOver  = problem.New(problem.Leaving, "the request went to another instance")
+	errEnded      = problem.New(problem.Internal, "the request has ended")
+	errAbandoned  = problem.New(problem.DeadlineExceeded, "the caller left")
+	errHandedOver = problem.New(problem.Leaving, "the request went to another instance")
 )
