Refuse retry windows above the retention; close tickets on a panic

Cause of the first: files could promise 7 days while keys are refused after 24 hours. Cause of the second: a panic between claim and record would have left the key's claim open until the process ended.

--- a/entry/gateway/plain.go
+++ b/entry/gateway/plain.go
@@ -134,6 +134,7 @@
 	if ticket.Answer != nil {
 		return plain.Answer{Status: ticket.Answer.Status, Header: ticket.Answer.Header, Body: ticket.Answer.Body}, nil
 	}
+	defer ticket.Finish(action.Unknown, nil) // without effect behind record; for a panic before it
 	p.sent = ticket.Sent
 	answer, err := g.admitPlain(ctx, p)
 	record(ticket, answer, err)
--- a/serving/version/service/check.go
+++ b/serving/version/service/check.go
@@ -21,7 +21,7 @@
 	maxTargetMS      = 600_000
 	maxAttempts      = 10
 	minWindowMS      = 1000
-	maxWindowMS      = 7 * 24 * 3600 * 1000
+	maxWindowMS      = 24 * 3600 * 1000
 	maxQueue         = 100_000
 	maxAgeingMS      = 3_600_000
 	maxPerDomain     = 10_000
