Let a slow time pass without locking a service out

Cause: requests are refused when the mean run time is above their deadline, and only requests that run renew the mean: after a slow time every request could be refused for good. TestSlowTimesDontLockAServiceOut failed (refused after 100 quick requests) and passes. Change: while nothing runs, a mean that is older than 250 ms does not refuse. Tried first: never to refuse while nothing runs, which TestDeadlines forbids, as a service's time that was just learnt counts.

--- a/serving/request/admission/ask.go
+++ b/serving/request/admission/ask.go
@@ -80,9 +80,9 @@
 	q, fleet := i.queue, t.fleet(now)
 	ahead := q.ahead(i)
 	if ahead == 0 && q.running < q.room(fleet) && t.belowConcurrency(now, q, i.account, fleet) {
-		return q.runTime(i)
+		return q.runTime(now, i)
 	}
-	return q.runTime(i) + q.waitTime(ahead)
+	return q.runTime(now, i) + q.waitTime(ahead)
 }
 
 // refuse returns the order that ends a request.
--- a/serving/request/admission/done.go
+++ b/serving/request/admission/done.go
@@ -17,7 +17,7 @@
 	}
 	t.end(i)
 	q := i.queue
-	q.learn(now.Sub(i.admitted), tokens)
+	q.learn(now, now.Sub(i.admitted), tokens)
 	i.account.tokens.bucket.level += float64(i.Tokens - tokens)
 	if tokens > i.Tokens {
 		i.account.tokens.demand.add(now, float64(tokens-i.Tokens))
@@ -115,11 +115,15 @@
 
 // late tells whether a request would miss its deadline even when it started now.
 func (q *queue) late(now time.Time, i *item) bool {
-	return !i.Deadline.IsZero() && now.Add(q.runTime(i)).After(i.Deadline)
+	return !i.Deadline.IsZero() && now.Add(q.runTime(now, i)).After(i.Deadline)
 }
 
+// probePeriod is the time after which the mean run time of an idle service is not relied on.
+const probePeriod = 250 * time.Millisecond
+
 // learn takes in the run time of one request.
-func (q *queue) learn(run time.Duration, tokens int) {
+func (q *queue) learn(now time.Time, run time.Duration, tokens int) {
+	q.learned = now
 	if q.meanRun == 0 {
 		q.meanRun, q.meanTokens = run, float64(tokens)
 		return
@@ -130,7 +134,12 @@
 
 // runTime returns the expected time from admission to the end. Requests longer than the
 // mean take as much longer; shorter ones are not counted on to be faster than half.
-func (q *queue) runTime(i *item) time.Duration {
+// A mean that nothing has renewed for a while tells of the past only; while nothing runs
+// the next request is let through to learn it anew.
+func (q *queue) runTime(now time.Time, i *item) time.Duration {
+	if q.running == 0 && now.Sub(q.learned) > probePeriod {
+		return 0
+	}
 	if q.meanTokens <= 0 {
 		return q.meanRun
 	}
--- a/serving/request/admission/queue.go
+++ b/serving/request/admission/queue.go
@@ -24,6 +24,8 @@
 	virtual float64
 	// meanRun is the mean time from admission to the end, 0 when not known yet.
 	meanRun time.Duration
+	// learned is when the means were last renewed.
+	learned time.Time
 	// meanTokens is the mean number of tokens of the requests in meanRun.
 	meanTokens float64
 }
