Count the slots that long answers hold

Cause: the wait for a slot was reckoned with the new request's own length; with 8 of 8 slots taken by answers of 800 tokens a short chat went there and waited 4.6 to 4.8 s for its first token beside an idle server. Change: the wait uses the tokens that this instance's own attempts at the server may still get.

--- a/serving/request/route/attempt.go
+++ b/serving/request/route/attempt.go
@@ -15,6 +15,8 @@
 	estimated time.Duration
 	// prefill is the number of prompt tokens that count as waiting at the server.
 	prefill int
+	// answer is the number of answer tokens that may still come.
+	answer  int
 	started bool
 }
 
@@ -36,6 +38,7 @@
 		sentAt:    at(now),
 		estimated: choice.mean,
 		prefill:   max(request.PromptTokens-choice.CachedTokens, 0),
+		answer:    max(request.AnswerTokens, 0),
 	}
 	t.attempts[id] = a
 	if b.own.inFlight == 0 {
@@ -43,6 +46,7 @@
 	}
 	b.own.inFlight++
 	b.own.prefill += a.prefill
+	b.ownAnswer += a.answer
 	if b.reported {
 		b.unsettled.send(a.sentAt, a.prefill)
 	}
@@ -73,6 +77,7 @@
 		return
 	}
 	a.start()
+	a.countToken()
 	a.lastToken = at(now)
 	a.backend.health.progress = a.lastToken
 	a.observe(a.lastToken)
@@ -95,6 +100,14 @@
 	a.backend.own.prefill -= a.prefill
 }
 
+// countToken notes that one token less is to come.
+func (a *attempt) countToken() {
+	if a.answer > 0 {
+		a.answer--
+		a.backend.ownAnswer--
+	}
+}
+
 // Token notes a further token of an attempt.
 func (t *Table) Token(now time.Time, id string) {
 	t.mu.Lock()
@@ -103,6 +116,7 @@
 	if a == nil {
 		return
 	}
+	a.countToken()
 	last := a.lastToken
 	a.lastToken = at(now)
 	a.backend.health.progress = a.lastToken
@@ -127,6 +141,7 @@
 	}
 	a.start()
 	b.own.inFlight--
+	b.ownAnswer -= a.answer
 	if b.reported {
 		b.unsettled.finish(ended)
 	}
--- a/serving/request/route/backend.go
+++ b/serving/request/route/backend.go
@@ -43,10 +43,12 @@
 	reportedPrefill  int
 	peers            use
 	own              use
-	unsettled        unsettled
-	observed         observed
-	work             work
-	health           health
+	// ownAnswer is the number of answer tokens that this instance's attempts may still get.
+	ownAnswer int
+	unsettled unsettled
+	observed  observed
+	work      work
+	health    health
 
 	Backend
 	group *group
--- a/serving/request/route/estimate.go
+++ b/serving/request/route/estimate.go
@@ -122,7 +122,7 @@
 	waiting := b.estimatedPrefill(q.now, fresh, t.parts)
 	c.Work = b.work.total()
 	c.mean = b.speed.prefillTime(waiting+uncached) + c.BetweenTokens + b.trip
-	c.mean += slotWait(c.InFlight, b.speed.slots, decode)
+	c.mean += slotWait(c.InFlight, b.speed.slots, max(decode, b.ownLength(c.BetweenTokens)))
 	c.FirstToken = c.mean
 	if t.parts.health {
 		c.FirstToken = max(c.mean+b.observed.lateness(q.now)+q.margin, c.mean/2) + b.stall(q.now)
@@ -131,6 +131,15 @@
 	c.Cost = b.speed.prefillCost(uncached) + float64(decode)/float64(sharers)*b.speed.price
 }
 
+// ownLength returns the mean time that this entry instance's answers at the server may
+// still take.
+func (b *backend) ownLength(between time.Duration) time.Duration {
+	if b.own.inFlight == 0 {
+		return 0
+	}
+	return time.Duration(b.ownAnswer) * between / time.Duration(b.own.inFlight)
+}
+
 // slotWait returns the wait for a free slot when all are taken by requests of the given
 // length.
 func slotWait(inFlight, slots int, length time.Duration) time.Duration {
