Copy hot prefixes to where requests will look for them

Cause: a copied prefix went to any receiver with room, and other entry instances looked for it at its home; and the entry that copied it learnt of it only from cache events. A service that lost all its backend servers kept its slots in admission.

--- a/entry/gateway/move.go
+++ b/entry/gateway/move.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -52,6 +53,9 @@
 	g.Routes.SetBackends(now, list)
 	slots := map[string]int{}
 	kept := map[string]bool{}
+	for _, name := range g.moves.services() {
+		slots[name] = 0
+	}
 	for _, backend := range list {
 		kept[backend.ID] = true
 		if _, leaving := g.Routes.IsLeaving(backend.ID); !leaving {
@@ -77,6 +81,19 @@
 	g.moves.tick(now)
 }
 
+// services returns the services that had backend servers in the last list.
+func (m *mover) services() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var names []string
+	for _, backend := range m.backends {
+		if !slices.Contains(names, backend.Service) {
+			names = append(names, backend.Service)
+		}
+	}
+	return names
+}
+
 func (m *mover) setBackends(list []route.Backend) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/entry/gateway/save.go
+++ b/entry/gateway/save.go
@@ -32,12 +32,26 @@
 			list = append(list, reclaim.Cached{
 				Backend: server.Backend, Service: backend.Service, Block: block, Tokens: hot.Tokens,
 				HitsPerSecond: hot.HitsPerSecond, Elsewhere: hot.Elsewhere,
+				Home: m.home(now, backend.Service, hot),
 			})
 		}
 	}
 	return list
 }
 
+// home returns the server that the next request with a prefix would go to.
+func (m *mover) home(now time.Time, name string, hot route.Hot) string {
+	request := route.Request{Service: name, Blocks: hot.Blocks, PromptTokens: hot.Tokens}
+	if file, found := m.gateway.Versions.Service(name); found {
+		request.Target = file.LatencyTarget
+	}
+	choice, err := m.gateway.Routes.Choose(now, request)
+	if err != nil {
+		return ""
+	}
+	return choice.Backend.ID
+}
+
 // turn tells whether it is this instance's turn to save a prefix.
 func (m *mover) turn(now time.Time, backend string, block prefix.Block) bool {
 	m.mu.Lock()
@@ -67,6 +81,7 @@
 			m.gateway.Log.WithField("from", order.From).Warn("gateway: copy of a prefix failed: " + err.Error())
 			return
 		}
+		m.gateway.Routes.Stored(order.To, chain)
 		m.gateway.Meters.prefixSaved(order.Tokens)
 	}()
 }
--- a/serving/process/membership/use.go
+++ b/serving/process/membership/use.go
@@ -18,7 +18,7 @@
 	RequestsPerSecond float64 `cbor:"2,keyasint"`
 	// TokensPerSecond is the demand in prompt and answer tokens a second.
 	TokensPerSecond float64 `cbor:"3,keyasint"`
-	// InFlight is the number of requests in flight or waiting.
+	// InFlight is the number of admitted requests in flight.
 	InFlight int `cbor:"4,keyasint"`
 }
 
