--- a/entry/gateway/gateway_test.go
+++ b/entry/gateway/gateway_test.go
@@ -263,9 +263,13 @@
 
 func TestCallerThatHangsUpCostsNothingLasting(t *testing.T) {
 	w := newWorld(t, "e1")
-	w.add("engine", "model-bench", (&fakeEngine{tokens: 100_000, pause: 5 * time.Millisecond}).ServeHTTP)
+	large := strings.Repeat("x", 100<<10)
+	w.add("engine", "model-bench", (&fakeEngine{tokens: 100_000, pause: 5 * time.Millisecond, spoil: func(_ string, c *engine.Chunk) bool {
+		c.Choices[0].Delta.Content = large
+		return true
+	}}).ServeHTTP)
 	server := w.serve("e1")
-	before := runtime.NumGoroutine()
+	before, memory := runtime.NumGoroutine(), heap()
 	for range 20 {
 		conn, err := net.Dial("tcp", server.Listener.Addr().String())
 		require.NoError(t, err)
@@ -282,6 +286,18 @@
 		w.gateways["e1"].Tick(time.Now().Add(2 * keepUnread))
 		return w.gateways["e1"].Runs() == 0 && runtime.NumGoroutine() < before+10
 	}, 20*time.Second, 50*time.Millisecond)
+	held := heap()
+	w.gateways["e1"].Tick(time.Now().Add(10 * keepEnded))
+	require.Greater(t, held, memory+4<<20, "ended answers are kept for a while")
+	require.Less(t, heap(), memory+4<<20)
+}
+
+// heap returns the bytes in use after a collection.
+func heap() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
 }
 
 func TestCallerThatDoesNotReadIsCut(t *testing.T) {
