--- a/entry/gateway/bench_test.go
+++ b/entry/gateway/bench_test.go
@@ -28,7 +28,7 @@
 	c := &call{id: "request", file: modelFile(), account: &modelFile().Accounts[0], received: time.Now()}
 	r := newRun("key", c, chat{MaxTokens: 1 << 30})
 	r.assembly.Begin("request.1")
-	f := g.follower(&discardResponse{header: http.Header{}}, c, r)
+	f := g.newEventWriter(&discardResponse{header: http.Header{}}, c, r)
 	batch := answer.Batch{}
 	b.ReportAllocs()
 	for i := 0; b.Loop(); i++ {
--- a/entry/gateway/chat.go
+++ b/entry/gateway/chat.go
@@ -162,7 +162,7 @@
 }
 
 func (g *Gateway) admitRun(ctx context.Context, r *run) error {
-	return g.gate.admit(ctx, admission.Ask{
+	return g.admitter.admit(ctx, admission.Ask{
 		RequestID: r.key, Service: r.file.Name, Account: r.account, Priority: r.priority,
 		Tokens: r.promptSize + r.chat.MaxTokens, Deadline: r.deadline,
 	})
--- a/entry/gateway/deliver.go
+++ b/entry/gateway/deliver.go
@@ -97,11 +97,11 @@
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("Cache-Control", "no-store")
 	w.WriteHeader(http.StatusOK)
-	g.follower(w, c, r).follow(ctx, batch)
+	g.newEventWriter(w, c, r).follow(ctx, batch)
 }
 
-// follower writes a growing answer as server-sent events.
-type follower struct {
+// eventWriter writes a growing answer as server-sent events.
+type eventWriter struct {
 	gateway *Gateway
 	writer  http.ResponseWriter
 	flusher *http.ResponseController
@@ -114,23 +114,23 @@
 	extended time.Time
 }
 
-func (g *Gateway) follower(w http.ResponseWriter, c *call, r *run) *follower {
-	f := &follower{gateway: g, writer: w, flusher: http.NewResponseController(w), call: c, run: r}
-	f.head = `{"id":"` + c.id + `","object":"chat.completion.chunk","created":` + strconv.FormatInt(r.started.Unix(), 10) +
+func (g *Gateway) newEventWriter(w http.ResponseWriter, c *call, r *run) *eventWriter {
+	e := &eventWriter{gateway: g, writer: w, flusher: http.NewResponseController(w), call: c, run: r}
+	e.head = `{"id":"` + c.id + `","object":"chat.completion.chunk","created":` + strconv.FormatInt(r.started.Unix(), 10) +
 		`,"model":"` + r.file.Name + `","choices":[{"index":0,"delta":{`
-	return f
+	return e
 }
 
-func (f *follower) follow(ctx context.Context, batch answer.Batch) {
+func (e *eventWriter) follow(ctx context.Context, batch answer.Batch) {
 	for {
-		if !f.write(batch) {
+		if !e.write(batch) {
 			return
 		}
 		if batch.End != nil {
 			return
 		}
 		var err error
-		batch, err = f.run.log.Read(ctx, batch.From+len(batch.Tokens), batchTokens, batch.Tokens)
+		batch, err = e.run.log.Read(ctx, batch.From+len(batch.Tokens), batchTokens, batch.Tokens)
 		if err != nil {
 			abort()
 		}
@@ -138,40 +138,40 @@
 }
 
 // write sends a batch and reports whether the caller is still there.
-func (f *follower) write(batch answer.Batch) bool {
-	f.buffer = f.buffer[:0]
+func (e *eventWriter) write(batch answer.Batch) bool {
+	e.buffer = e.buffer[:0]
 	for i, token := range batch.Tokens {
-		f.token(batch.From+i, token)
+		e.token(batch.From+i, token)
 	}
 	if batch.End != nil {
-		f.end(batch.From+len(batch.Tokens), batch.End)
+		e.end(batch.From+len(batch.Tokens), batch.End)
 	}
-	f.extend()
-	if _, err := f.writer.Write(f.buffer); err != nil {
+	e.extend()
+	if _, err := e.writer.Write(e.buffer); err != nil {
 		return false
 	}
-	return f.flusher.Flush() == nil
+	return e.flusher.Flush() == nil
 }
 
 // extend gives the caller more time to read, at most once in a quarter of that time.
-func (f *follower) extend() {
+func (e *eventWriter) extend() {
 	now := time.Now()
-	limit := f.gateway.Limits.WriteTimeout()
-	if now.Sub(f.extended) < limit/4 {
+	limit := e.gateway.Limits.WriteTimeout()
+	if now.Sub(e.extended) < limit/4 {
 		return
 	}
-	f.extended = now
-	_ = f.flusher.SetWriteDeadline(now.Add(limit))
+	e.extended = now
+	_ = e.flusher.SetWriteDeadline(now.Add(limit))
 }
 
-func (f *follower) token(index int, token string) {
-	f.eventID(index)
-	f.buffer = append(f.buffer, f.head...)
-	f.buffer = append(f.buffer, `"content":`...)
-	f.buffer = appendJSON(f.buffer, token)
-	f.buffer = append(f.buffer, `}}],"token_index":`...)
-	f.buffer = strconv.AppendInt(f.buffer, int64(index), 10)
-	f.buffer = append(f.buffer, "}\n\n"...)
+func (e *eventWriter) token(index int, token string) {
+	e.eventID(index)
+	e.buffer = append(e.buffer, e.head...)
+	e.buffer = append(e.buffer, `"content":`...)
+	e.buffer = appendJSON(e.buffer, token)
+	e.buffer = append(e.buffer, `}}],"token_index":`...)
+	e.buffer = strconv.AppendInt(e.buffer, int64(index), 10)
+	e.buffer = append(e.buffer, "}\n\n"...)
 }
 
 func appendJSON(buffer []byte, value any) []byte {
@@ -182,36 +182,36 @@
 	return append(buffer, data...)
 }
 
-func (f *follower) eventID(index int) {
-	f.buffer = append(f.buffer, "id: "...)
-	f.buffer = append(f.buffer, f.call.id...)
-	f.buffer = append(f.buffer, ':')
-	f.buffer = strconv.AppendInt(f.buffer, int64(index), 10)
-	f.buffer = append(f.buffer, "\ndata: "...)
+func (e *eventWriter) eventID(index int) {
+	e.buffer = append(e.buffer, "id: "...)
+	e.buffer = append(e.buffer, e.call.id...)
+	e.buffer = append(e.buffer, ':')
+	e.buffer = strconv.AppendInt(e.buffer, int64(index), 10)
+	e.buffer = append(e.buffer, "\ndata: "...)
 }
 
-func (f *follower) end(tokens int, end *answer.End) {
+func (e *eventWriter) end(tokens int, end *answer.End) {
 	if end.Err != nil {
-		f.failure(end.Err)
+		e.failure(end.Err)
 		return
 	}
-	f.eventID(tokens)
-	f.buffer = append(f.buffer, f.head...)
-	f.buffer = append(f.buffer, `},"finish_reason":`...)
-	f.buffer = appendJSON(f.buffer, end.Reason)
-	f.buffer = append(f.buffer, `}],"token_index":`...)
-	f.buffer = strconv.AppendInt(f.buffer, int64(tokens), 10)
-	f.buffer = append(f.buffer, `,"usage":`...)
-	f.buffer = appendJSON(f.buffer, end.Usage)
-	f.buffer = append(f.buffer, "}\n\ndata: [DONE]\n\n"...)
-	f.gateway.Meters.answered(f.run.file.Name, "ok")
+	e.eventID(tokens)
+	e.buffer = append(e.buffer, e.head...)
+	e.buffer = append(e.buffer, `},"finish_reason":`...)
+	e.buffer = appendJSON(e.buffer, end.Reason)
+	e.buffer = append(e.buffer, `}],"token_index":`...)
+	e.buffer = strconv.AppendInt(e.buffer, int64(tokens), 10)
+	e.buffer = append(e.buffer, `,"usage":`...)
+	e.buffer = appendJSON(e.buffer, end.Usage)
+	e.buffer = append(e.buffer, "}\n\ndata: [DONE]\n\n"...)
+	e.gateway.Meters.answered(e.run.file.Name, "ok")
 }
 
 // failure ends a stream that has begun with a problem document and no final marker.
-func (f *follower) failure(err error) {
-	document := problem.From(err).Document(f.call.id)
-	f.gateway.Meters.answered(f.run.file.Name, string(document.Outcome))
-	f.buffer = append(f.buffer, "event: error\ndata: "...)
-	f.buffer = appendJSON(f.buffer, document)
-	f.buffer = append(f.buffer, "\n\n"...)
+func (e *eventWriter) failure(err error) {
+	document := problem.From(err).Document(e.call.id)
+	e.gateway.Meters.answered(e.run.file.Name, string(document.Outcome))
+	e.buffer = append(e.buffer, "event: error\ndata: "...)
+	e.buffer = appendJSON(e.buffer, document)
+	e.buffer = append(e.buffer, "\n\n"...)
 }
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -77,7 +77,7 @@
 // Gateway is the callers' side of an entry instance.
 type Gateway struct {
 	Parts
-	gate     *gate
+	admitter *admitter
 	runs     *runs
 	moves    *mover
 	draining atomic.Bool
@@ -89,7 +89,7 @@
 
 // New returns a gateway.
 func New(parts Parts) *Gateway {
-	g := &Gateway{Parts: parts, gate: newGate(parts.Admission, parts.Clock), runs: newRuns(parts.Clock)}
+	g := &Gateway{Parts: parts, admitter: newAdmitter(parts.Admission, parts.Clock), runs: newRuns(parts.Clock)}
 	g.moves = newMover(g)
 	g.cut, g.cutNow = context.WithCancel(context.Background())
 	return g
@@ -179,7 +179,7 @@
 
 // Tick lets queued requests go on. It is called every TickPeriod.
 func (g *Gateway) Tick(now time.Time) {
-	g.gate.tick(now)
+	g.admitter.tick(now)
 	g.moves.tick(now)
 	g.runs.forget(now)
 }
--- a/entry/gateway/generate.go
+++ b/entry/gateway/generate.go
@@ -48,7 +48,7 @@
 		return
 	}
 	r.finish(g.Clock(), end)
-	g.gate.release(r.key, r.promptSize+r.log.Tokens())
+	g.admitter.release(r.key, r.promptSize+r.log.Tokens())
 	if end.Err == nil {
 		g.Retries.Success(r.file.Name)
 	}
--- a/entry/gateway/plain.go
+++ b/entry/gateway/plain.go
@@ -107,14 +107,14 @@
 // admitPlain waits for the request's turn and sends it.
 func (g *Gateway) admitPlain(ctx context.Context, p *plainRun) (plain.Answer, error) {
 	id := p.call.file.Name + "/" + p.call.account.Name + "/" + p.call.id + "/" + fmt.Sprint(p.call.received.UnixNano())
-	err := g.gate.admit(ctx, admission.Ask{
+	err := g.admitter.admit(ctx, admission.Ask{
 		RequestID: id, Service: p.call.file.Name, Account: p.call.account.Name,
 		Priority: p.call.priority, Deadline: p.call.deadline,
 	})
 	if err != nil {
 		return plain.Answer{}, err
 	}
-	defer g.gate.release(id, 0)
+	defer g.admitter.release(id, 0)
 	return g.sendPlain(ctx, p)
 }
 
--- a/entry/gateway/remote.go
+++ b/entry/gateway/remote.go
@@ -146,7 +146,7 @@
 // continueElsewhere hands a run over and forwards its answer from there. If no peer takes it, it
 // goes on here.
 func (g *Gateway) continueElsewhere(r *run) {
-	g.gate.release(r.key, r.promptSize+r.log.Tokens())
+	g.admitter.release(r.key, r.promptSize+r.log.Tokens())
 	address, err := g.handRunOver(r)
 	if err != nil {
 		g.Log.WithField("request_id", r.id).Warn("gateway: hand-over failed: " + err.Error())
