--- a/serving/process/settings/settings.go
+++ b/serving/process/settings/settings.go
@@ -39,7 +39,6 @@
 	Store     Store    `json:"store"`
 	Instances Endpoint `json:"instances"`
 	Cloud     Endpoint `json:"cloud"`
-	Weights   Endpoint `json:"weights"`
 
 	// SeedPeers are peer addresses to ask first.
 	SeedPeers []string `json:"seed_peers,omitempty"`
@@ -199,7 +198,6 @@
 	c.url("store.address", set.Store.Address, true)
 	c.url("instances.address", set.Instances.Address, true)
 	c.url("cloud.address", set.Cloud.Address, false)
-	c.url("weights.address", set.Weights.Address, false)
 	for i, peer := range set.SeedPeers {
 		c.listen(fmt.Sprintf("seed_peers[%d]", i), peer)
 	}
--- a/standin/launch/entry.go
+++ b/standin/launch/entry.go
@@ -94,7 +94,6 @@
 	set.Store = settings.Store{Address: at.store, Prefix: "tenant/"}
 	set.Instances.Address = at.cloud
 	set.Cloud.Address = at.cloud
-	set.Weights.Address = s.Weights
 	set.SeedPeers = s.seeds(p)
 	set.OperatorTokensFile = s.tokensFile()
 	set.Stop.GraceMS = s.plan.StopGrace.Milliseconds()
