--- a/serving/request/route/slots_test.go
+++ b/serving/request/route/slots_test.go
@@ -37,7 +37,7 @@
 		chosen int
 	}{
 		"short": {100, 0},
-		"long":  {2000, 1},
+		"long":  {1000, 1},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -45,7 +45,7 @@
 			list[1].PricePerHour = 3
 			table := seededTable(t, route.Papayaport, list, 1)
 			busy := load(1)
-			busy.PrefillTokens = 400
+			busy.PrefillTokens = 200
 			table.Report(start.Add(1), list[0].ID, busy)
 			request := route.Request{Service: "model-bench", PromptTokens: test.tokens, AnswerTokens: 20, Target: target}
 			choice, err := table.Choose(start.Add(1), request)
