--- a/serving/request/route/papayaport.go
+++ b/serving/request/route/papayaport.go
@@ -21,17 +21,13 @@
 	// stakeWeight is the part of the target that a cached prompt may use beyond the headroom,
 	// for each part that computing the prompt elsewhere takes.
 	stakeWeight = 2
-	// pricedShare is the share of the first-token target up to which computing a whole prompt
-	// may take for prices to decide. Longer prompts go where the first token comes earliest,
-	// because a second computation costs more than prices differ.
-	pricedShare = 0.125
 	// tieShare is the relative range of cost within which candidates count as equal, so
 	// that entry instances with the same knowledge do not all take the same server.
 	tieShare = 0.02
 )
 
 // papayaport takes the cheapest candidate that meets the latency target at the wanted
-// quantile, and the fastest when none does or the prompt is long.
+// quantile, and the fastest when none does.
 type papayaport struct {
 	home  bool
 	price bool
@@ -44,7 +40,6 @@
 		home = boundedHome(candidates[:needed(candidates)])
 	}
 	best, least := cachedRange(candidates)
-	priced := p.price && isShort(request, candidates[0].backend)
 	cheapest, lowestCost := -1, 0.0
 	fastest, lowestTime := -1, 0.0
 	for i := range candidates {
@@ -59,7 +54,7 @@
 		if fastest < 0 || time < lowestTime {
 			fastest, lowestTime = i, time
 		}
-		if !priced || !meets(c, request, share(c, request, best, least)) {
+		if !p.price || !meets(c, request, share(c, request, best, least)) {
 			continue
 		}
 		cost := jitter * (c.Cost + lost*c.backend.speed.price)
@@ -73,12 +68,6 @@
 	return cheapest
 }
 
-// isShort tells whether a prompt is computed so quickly that prices may decide.
-func isShort(request *Request, b *backend) bool {
-	target := request.Target.FirstTokenMS
-	return target <= 0 || milliseconds(b.speed.prefillTime(request.PromptTokens)) <= pricedShare*target
-}
-
 // cachedRange returns the largest and the smallest number of cached tokens at a candidate.
 func cachedRange(candidates []Candidate) (most, least int) {
 	least = candidates[0].CachedTokens
