Wait for both leases before the outage in TestLeases

Cause: the test waited for one of two leases, whose calls are made at the same time, and went on as if the first process held both; when the store went down before the other call, the second process got that lease afterwards and the test failed, once in a clean clone. The test asks for more now: both are held before the outage.

--- a/serving/process/lease/lease_test.go
+++ b/serving/process/lease/lease_test.go
@@ -97,7 +97,9 @@
 		}
 	}
 	stop := run(t, first)
-	require.Eventually(t, holds(first, "watch/a/1"), 5*time.Second, 10*time.Millisecond)
+	for _, name := range []string{"watch/a/0", "watch/a/1"} {
+		require.Eventually(t, holds(first, name), 5*time.Second, 10*time.Millisecond)
+	}
 	run(t, second)
 
 	m.setDown(true)
