Ask several peers for a member that is unknown

Cause: a roster or beat that names an unknown member sets a flag, and the next message took the flag along and cleared it. The first message of a round goes to a member of the own failure domain, which usually lacks the same members, so that the question was spent there; a roster is read only when it is new, every 8 s. And two members of one domain that never met both speak for the domain: the roster of the other was dropped before it was read. Ruled out: lost probes and the silence limits, since the missing members were not in the table at all. Change: an unknown member is asked for in as many exchanges as a round has, and any roster of another speaker is read for unknown members. TestMembersThatNeverMetFindEachOther fails without the change.

--- a/serving/process/membership/members.go
+++ b/serving/process/membership/members.go
@@ -94,19 +94,30 @@
 func (t *Table) hearBeat(now time.Time, beat Beat) {
 	m := t.byID[beat.ID]
 	if m == nil {
-		t.wants = true
+		t.wants = wantsExchanges
 		return
 	}
 	m.hear(now, beat.Count, beat.Draining)
 }
 
+// namesUnknown tells whether a roster names a member that is not known here. Members of
+// one failure domain that never heard of each other both speak for the domain; the
+// roster of the other, passed on by a third, is then the only trace of it.
+func (t *Table) namesUnknown(roster *Use) bool {
+	for _, id := range roster.Live {
+		if id != t.id && t.byID[id] == nil {
+			return true
+		}
+	}
+	return false
+}
+
 // hearRoster takes the members of another failure domain for live at the time that the
 // roster was made.
 func (t *Table) hearRoster(made time.Time, roster *Use) {
 	for _, id := range roster.Live {
 		m := t.byID[id]
 		if m == nil {
-			t.wants = true
 			continue
 		}
 		if made.After(m.heard) {
--- a/serving/process/membership/records.go
+++ b/serving/process/membership/records.go
@@ -13,6 +13,9 @@
 	if use.Speaker == t.id || age > keepUses || !t.concerns(&use) {
 		return
 	}
+	if use.Level == RosterLevel && t.namesUnknown(&use) {
+		t.wants = wantsExchanges
+	}
 	key := use.key()
 	made := now.Add(-age)
 	if known := t.uses[key]; known != nil {
--- a/serving/process/membership/round.go
+++ b/serving/process/membership/round.go
@@ -177,7 +177,7 @@
 	if asked != nil {
 		size = t.addUses(now, &m, to, asked.Have, size, limit)
 	} else {
-		m.Wants, t.wants = t.wants, false
+		m.Wants, t.wants = t.wants > 0, max(t.wants-1, 0)
 		size = t.addHave(now, &m, to, size)
 	}
 	t.sent.take(size)
--- a/serving/process/membership/table.go
+++ b/serving/process/membership/table.go
@@ -33,6 +33,9 @@
 	homeExchanges      = 1
 	awayExchanges      = 1
 	smallAwayExchanges = 2
+	// wantsExchanges is the number of exchanges that ask for an unknown member: those of
+	// one round, since the first peer asked may lack it too.
+	wantsExchanges = homeExchanges + smallAwayExchanges
 	// upstreamRounds is the least number of rounds for each one that goes to the member
 	// that sums up the use of this one.
 	upstreamRounds = 3
@@ -97,9 +100,11 @@
 	// repairFrom is the address of a peer whose leaving set differs.
 	repairFrom string
 	nextRepair time.Time
-	wants      bool // a beat or roster named an unknown member
-	seedTurn   int
-	sent       bucket
+	// wants is the number of exchanges that still ask for members, because a beat or
+	// roster named an unknown one.
+	wants    int
+	seedTurn int
+	sent     bucket
 }
 
 // New returns the table of one entry instance. Seeds are peer addresses to try first;
