--- /dev/null
+++ b/serving/connection/event/event.go
@@ -0,0 +1,73 @@
+// Package event reads streams of server-sent events whole event by whole event, without
+// looking at what they say. A stream that breaks off inside an event gives none of it.
+//
+// # Usage
+//
+//	reader := event.New(body)
+//	for {
+//		one, err := reader.Next()
+//		// io.EOF: the stream is complete; anything else: it broke off
+//	}
+package event
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+
+	"github.com/pkg/errors"
+)
+
+// MaxBytes is the largest event that is read, in bytes.
+const MaxBytes = 1 << 20
+
+// readerBytes is the size of the read buffer in bytes; most events are far smaller.
+const readerBytes = 4 << 10
+
+// ErrTooLarge tells that an event is over MaxBytes.
+var ErrTooLarge = errors.New("event too large")
+
+// Event is one whole event.
+type Event struct {
+	// Bytes are the event as it arrived, up to and including its blank line.
+	Bytes []byte
+	// ID is the event's id, empty when it has none.
+	ID string
+}
+
+// Reader reads one stream.
+type Reader struct {
+	in *bufio.Reader
+}
+
+// New returns a reader of a stream.
+func New(in io.Reader) *Reader { return &Reader{in: bufio.NewReaderSize(in, readerBytes)} }
+
+// Next returns the next event. At the end of a complete stream it returns io.EOF; bytes
+// behind the last blank line then come in an Event of their own before it. Any other
+// error means that the stream broke off.
+func (r *Reader) Next() (Event, error) {
+	var e Event
+	for {
+		line, err := r.in.ReadSlice('\n')
+		e.Bytes = append(e.Bytes, line...)
+		switch {
+		case errors.Is(err, bufio.ErrBufferFull):
+		case errors.Is(err, io.EOF) && len(e.Bytes) > 0:
+			return e, nil
+		case err != nil:
+			return Event{}, err
+		case blank(line):
+			return e, nil
+		default:
+			if id, found := bytes.CutPrefix(bytes.TrimRight(line, "\r\n"), []byte("id:")); found {
+				e.ID = string(bytes.TrimPrefix(id, []byte(" ")))
+			}
+		}
+		if len(e.Bytes) > MaxBytes {
+			return Event{}, ErrTooLarge
+		}
+	}
+}
+
+func blank(line []byte) bool { return len(bytes.TrimRight(line, "\r\n")) == 0 }
--- /dev/null
+++ b/serving/connection/event/event_test.go
@@ -0,0 +1,62 @@
+package event_test
+
+import (
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"papayaport.dev/serving/connection/event"
+)
+
+// broken ends with an error in place of io.EOF.
+type broken struct{ io.Reader }
+
+func (b broken) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if err == io.EOF {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
+func TestNext(t *testing.T) {
+	for name, test := range map[string]struct {
+		in     io.Reader
+		events []string
+		ids    []string
+		end    error
+	}{
+		"whole": {
+			strings.NewReader("id: 1\ndata: a\n\nid:2\r\ndata: b\r\n\r\n"),
+			[]string{"id: 1\ndata: a\n\n", "id:2\r\ndata: b\r\n\r\n"}, []string{"1", "2"}, io.EOF,
+		},
+		"complete without a last blank line": {
+			strings.NewReader("data: a\n\ndata: b"), []string{"data: a\n\n", "data: b"}, []string{"", ""}, io.EOF,
+		},
+		"broken inside an event": {
+			broken{strings.NewReader("id: 1\ndata: a\n\nid: 2\nda")}, []string{"id: 1\ndata: a\n\n"}, []string{"1"}, io.ErrUnexpectedEOF,
+		},
+		"a line longer than the buffer": {
+			strings.NewReader("data: " + strings.Repeat("x", 10000) + "\nid: 7\n\n"),
+			[]string{"data: " + strings.Repeat("x", 10000) + "\nid: 7\n\n"}, []string{"7"}, io.EOF,
+		},
+		"too large": {strings.NewReader("data: " + strings.Repeat("x", event.MaxBytes+5000)), nil, nil, event.ErrTooLarge},
+	} {
+		t.Run(name, func(t *testing.T) {
+			reader := event.New(test.in)
+			var events, ids []string
+			for {
+				e, err := reader.Next()
+				if err != nil {
+					require.ErrorIs(t, err, test.end)
+					break
+				}
+				events, ids = append(events, string(e.Bytes)), append(ids, e.ID)
+			}
+			require.Equal(t, test.events, events)
+			require.Equal(t, test.ids, ids)
+		})
+	}
+}
--- /dev/null
+++ b/serving/process/directory/directory_test.go
@@ -0,0 +1,61 @@
+package directory_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"papayaport.dev/serving/process/directory"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+// step is one reading; a nil listing could not be read.
+type step struct {
+	after  time.Duration
+	listed []directory.Server
+	want   []directory.Server
+}
+
+func server(id string, incarnation uint64) directory.Server {
+	return directory.Server{ID: id, Incarnation: incarnation}
+}
+
+func leaving(id string, incarnation uint64) directory.Server {
+	return directory.Server{ID: id, Incarnation: incarnation, Leaving: true}
+}
+
+func TestListed(t *testing.T) {
+	all := []directory.Server{server("a", 1), server("b", 1)}
+	one := []directory.Server{server("a", 1)}
+	for name, steps := range map[string][]step{
+		"a missing server is gone": {{0, all, all}, {time.Second, one, one}},
+		"entries that lapsed in an outage come back": {
+			{0, all, all}, {time.Second, nil, nil}, {2 * time.Second, one, all}, {3 * time.Second, all, all}, {9 * time.Second, all, all},
+		},
+		"those that stay away are gone": {
+			{0, all, all}, {time.Second, nil, nil}, {2 * time.Second, one, all}, {4500 * time.Millisecond, one, one},
+		},
+		"an older incarnation changes nothing": {
+			{0, []directory.Server{server("a", 2)}, []directory.Server{server("a", 2)}},
+			{time.Second, []directory.Server{server("a", 1)}, []directory.Server{server("a", 2)}},
+		},
+		"leaving ends with a new incarnation only": {
+			{0, []directory.Server{leaving("a", 1)}, []directory.Server{leaving("a", 1)}},
+			{time.Second, []directory.Server{server("a", 1)}, []directory.Server{leaving("a", 1)}},
+			{2 * time.Second, []directory.Server{server("a", 2)}, []directory.Server{server("a", 2)}},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			table := directory.New(directory.DefaultReturn)
+			for _, s := range steps {
+				if s.listed == nil {
+					table.Failed(start.Add(s.after))
+					continue
+				}
+				require.Equal(t, s.want, table.Listed(start.Add(s.after), s.listed), "after %s", s.after)
+			}
+		})
+	}
+}
