--- /dev/null
+++ b/entry/relay/meters.go
@@ -0,0 +1,29 @@
+package relay
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// Meters counts what happens to requests.
+type Meters struct{ set *metrics.Set }
+
+// NewMeters returns meters in a set.
+func NewMeters(set *metrics.Set) *Meters { return &Meters{set: set} }
+
+func (m *Meters) attempted(service string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("papayaport_attempts_total{service=%q}", service)).Inc()
+}
+
+func (m *Meters) answered(service, route string, status int, kind string, first, took time.Duration) {
+	if kind == "" {
+		kind = "ok"
+	}
+	m.set.GetOrCreateCounter(fmt.Sprintf("papayaport_requests_total{service=%q,status=\"%d\",kind=%q}", service, status, kind)).Inc()
+	if first > 0 {
+		m.set.GetOrCreateHistogram(fmt.Sprintf("papayaport_first_byte_seconds{route=%q}", route)).Update(first.Seconds())
+	}
+	m.set.GetOrCreateHistogram(fmt.Sprintf("papayaport_request_seconds{route=%q}", route)).Update(took.Seconds())
+}
--- /dev/null
+++ b/entry/relay/run.go
@@ -0,0 +1,324 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"papayaport.dev/serving/connection/upstream"
+	"papayaport.dev/serving/process/problem"
+	"papayaport.dev/serving/request/admission"
+	"papayaport.dev/serving/request/route"
+	"papayaport.dev/serving/version/deployment"
+	"papayaport.dev/serving/version/service"
+)
+
+const (
+	// maxUnsent bounds the servers tried for one request without a byte leaving.
+	maxUnsent = 3
+	// silenceTargets is the number of latency targets without an answer after which a
+	// request that may repeat is tried elsewhere.
+	silenceTargets = 3
+	// shortestSilence is the least time before that, so that a garbage collection or a
+	// lost packet does not double the load.
+	shortestSilence = 500 * time.Millisecond
+	// targetQuantile is the share of requests that should keep the latency target.
+	targetQuantile = 0.95
+)
+
+// run is one caller's request over its attempts.
+type run struct {
+	relay    *Relay
+	received time.Time
+	call     *Call
+	version  *deployment.Version
+	route    *deployment.Route
+	account  *deployment.Account
+	service  string
+	deadline time.Time
+
+	attempts int
+	unsent   int
+	excluded []string
+	// mayHaveRun tells that an attempt was sent and not refused.
+	mayHaveRun bool
+	// begun tells that the request was counted as running.
+	begun bool
+
+	// What the log line tells besides.
+	status    int
+	kind      problem.Kind
+	detail    string
+	backend   string
+	firstByte time.Duration
+	events    int
+}
+
+// match finds the route, the client account and the service of a request.
+func (r *run) match(version *deployment.Version) error {
+	r.version = version
+	host, _, _ := strings.Cut(r.call.Host, ":")
+	found := false
+	if r.route, found = version.Match(host, r.call.Path); !found {
+		return problem.New(problem.UnknownRoute, "no route for %s%s in version %d", host, r.call.Path, version.Version)
+	}
+	if !r.route.Anonymous && len(version.Accounts) > 0 {
+		if r.account, found = version.Account(r.call.Key); !found {
+			return problem.New(problem.Unauthenticated, "the key belongs to no client account in version %d", version.Version)
+		}
+	}
+	wait := r.call.Wait
+	if wait <= 0 {
+		wait = usualWait
+	}
+	if r.route.Timeout > 0 {
+		wait = min(wait, r.route.Timeout)
+	}
+	r.deadline = r.received.Add(wait)
+	r.service = r.route.Pick(r.relay.Draw())
+	if _, found = version.Service(r.service); !found {
+		return problem.New(problem.NoBackend, "route %s leads to no service", r.route.Name)
+	}
+	return nil
+}
+
+func (r *run) tokens() int {
+	if p := r.call.Prompt; p != nil {
+		return p.PromptTokens + p.AnswerTokens
+	}
+	return r.account.PlainTokens
+}
+
+// admit checks the limits of the client account.
+func (r *run) admit() (release func(), err error) {
+	if r.account == nil || (r.account.TokensPerSecond <= 0 && r.account.RequestsPerSecond <= 0) {
+		return func() {}, nil
+	}
+	id := r.relay.attemptID(r.call)
+	order, _ := r.relay.Admission.Ask(time.Now(), admission.Ask{
+		RequestID: id, Service: AccountsService, Account: r.account.Name, Tokens: r.tokens(),
+	})
+	if order.Verdict == admission.Refused {
+		return nil, order.Problem
+	}
+	return func() { r.relay.Admission.Done(time.Now(), id, r.tokens()) }, nil
+}
+
+func (r *run) priority() int {
+	if r.account != nil && r.account.Priority != nil {
+		return *r.account.Priority
+	}
+	return r.route.Priority
+}
+
+func (r *run) accountName() string {
+	if r.account == nil {
+		return ""
+	}
+	return r.account.Name
+}
+
+// serve makes attempts until one is answered or none may follow.
+func (r *run) serve(w http.ResponseWriter, caller context.Context) {
+	if r.route.Kind == deployment.NonIdempotent {
+		// A sent request runs to its end whether its caller stays or not.
+		caller = context.WithoutCancel(caller)
+	}
+	ctx, cancel := withDeadline(caller, r.deadline)
+	defer cancel()
+	var err error
+	if r.route.Kind == deployment.Streaming {
+		err = r.serveStream(ctx, w)
+	} else {
+		err = r.servePlain(ctx, w)
+	}
+	if err != nil {
+		r.refuse(w, problem.From(err))
+	}
+}
+
+func (r *run) routeRequest() route.Request {
+	request := route.Request{
+		Service: r.service, AnswerTokens: 1, Priority: r.priority(), Deadline: r.deadline, Exclude: r.excluded,
+		Target: service.LatencyTarget{
+			FirstTokenMS: float64(r.route.Target.Milliseconds()), BetweenTokensMS: float64(r.route.TargetGap.Milliseconds()),
+			Quantile: targetQuantile,
+		},
+	}
+	if p := r.call.Prompt; p != nil {
+		request.PromptTokens, request.AnswerTokens, request.Blocks = p.PromptTokens, p.AnswerTokens, p.blocks()
+	}
+	return request
+}
+
+// attempt is one send with its place in the routing table.
+type attempt struct {
+	id       string
+	choice   route.Choice
+	response *upstream.Response
+	answer   Answer
+	cancel   context.CancelCauseFunc
+}
+
+// send makes one attempt up to the head of its answer. The attempt is settled by settle.
+func (r *run) send(ctx context.Context, lastEvent string) (*attempt, error) {
+	relay := r.relay
+	request := r.routeRequest()
+	choice, err := relay.Routes.Choose(time.Now(), request)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	a := &attempt{id: relay.attemptID(r.call), choice: choice, cancel: cancel}
+	r.backend = choice.Backend.ID
+	relay.Routes.Sent(time.Now(), a.id, choice, request)
+	silence := time.AfterFunc(r.silence(), func() { cancel(errSilent) })
+	defer silence.Stop()
+	header := relay.Codec.Attempt(r.call, Attempt{
+		Server: choice.Backend.ID, Left: time.Until(r.deadline), Account: r.accountName(),
+		Priority: r.priority(), LastEvent: lastEvent,
+	})
+	a.response, err = relay.Pool.Send(ctx, relay.server(r.version, choice.Backend), upstream.Request{
+		ID: r.call.ID, Method: r.call.Method, Target: r.call.Target, Host: r.call.Host, Header: header, Body: r.call.Body,
+	})
+	if err != nil {
+		r.noteFailure(a, err)
+		return nil, err
+	}
+	a.answer = relay.Codec.Answer(a.response.Status, a.response.Header)
+	r.noteAnswer(a)
+	return a, nil
+}
+
+// silence returns how long an attempt may stay without the head of an answer. The last
+// attempt of a request has all the time that is left.
+func (r *run) silence() time.Duration {
+	left := time.Until(r.deadline)
+	if !r.route.MayRepeat() || r.attempts+1 >= r.route.MaxAttempts {
+		return left
+	}
+	return min(left, max(silenceTargets*r.route.Target, shortestSilence))
+}
+
+// noteFailure counts an attempt that got no answer.
+func (r *run) noteFailure(a *attempt, err error) {
+	var failure *upstream.Error
+	sent := !errors.As(err, &failure) || failure.Sent
+	result := route.Failed
+	switch {
+	case errors.Is(err, errSilent):
+		result = route.Silent
+	case errors.Is(err, context.Canceled), errors.Is(err, errDeadline), errors.Is(err, upstream.ErrBusy):
+		result = route.Cancelled
+	case errors.Is(err, upstream.ErrForeign):
+		result = route.Wrong
+	}
+	r.settle(a, result)
+	r.excluded = append(r.excluded, a.choice.Backend.ID)
+	if !sent {
+		r.unsent++
+		return
+	}
+	r.attempts++
+	r.mayHaveRun = true
+	r.began()
+}
+
+// noteAnswer counts an attempt whose answer began.
+func (r *run) noteAnswer(a *attempt) {
+	now := time.Now()
+	if a.answer.Load != nil {
+		r.relay.report(now, a.choice.Backend, *a.answer.Load, r.version)
+	}
+	r.attempts++
+	r.relay.Meters.attempted(r.service)
+	if !a.answer.NotRun {
+		r.mayHaveRun = true
+		r.began()
+	}
+}
+
+// began counts the request as running, once.
+func (r *run) began() {
+	if !r.begun && r.account != nil {
+		r.begun = true
+		r.relay.Usage.Began(time.Now(), r.account.Name)
+	}
+}
+
+// settle ends an attempt.
+func (r *run) settle(a *attempt, result route.Result) {
+	r.relay.Routes.Done(time.Now(), a.id, result, 0)
+	if a.response != nil {
+		a.response.Close()
+	}
+	a.cancel(nil)
+}
+
+// again tells whether another attempt may follow one that failed, and takes it from the
+// budget of repeats. What never left costs nothing.
+func (r *run) again(ctx context.Context, mayRepeat bool) bool {
+	if ctx.Err() != nil || (r.mayHaveRun && !mayRepeat) {
+		return false
+	}
+	if r.attempts == 0 {
+		return r.unsent < maxUnsent
+	}
+	return r.attempts < max(r.route.MaxAttempts, 1) && r.unsent < maxUnsent &&
+		r.relay.Budget.Take(time.Now(), r.service)
+}
+
+// givenUp returns the final answer of a request that gets no further attempt.
+func (r *run) givenUp(ctx context.Context, cause error, retryAfter time.Duration) error {
+	if !r.mayHaveRun {
+		var refusal *problem.Error
+		if errors.As(cause, &refusal) {
+			return refusal
+		}
+		return problem.New(problem.BackendRefused, "not run: %v", cause).After(retryAfter)
+	}
+	if ctx.Err() != nil {
+		return problem.New(problem.DeadlineExceeded, "%v", context.Cause(ctx))
+	}
+	return problem.New(problem.AnswerLost, "the answer was lost: %v", cause)
+}
+
+// refuse answers the caller without an answer of a backend server.
+func (r *run) refuse(w http.ResponseWriter, failure *problem.Error) {
+	r.kind, r.detail = failure.Kind, failure.Detail
+	r.status = problem.Rows[failure.Kind].Status
+	r.relay.Codec.Refuse(w, r.call, failure)
+}
+
+// log writes the request's line.
+func (r *run) log() {
+	took := time.Since(r.received)
+	name := ""
+	if r.route != nil {
+		name = r.route.Name
+	}
+	r.relay.Meters.answered(r.service, name, r.status, string(r.kind), r.firstByte, took)
+	fields := logrus.Fields{
+		"request_id": r.call.ID, "route": name, "service": r.service, "account": r.accountName(),
+		"status": r.status, "attempts": r.attempts, "unsent": r.unsent, "backend": r.backend, "took_ms": took.Milliseconds(),
+	}
+	if r.version != nil {
+		fields["version"] = r.version.Version
+	}
+	if r.firstByte > 0 {
+		fields["first_ms"] = r.firstByte.Milliseconds()
+	}
+	if r.events > 0 {
+		fields["events"] = r.events
+	}
+	if r.kind != "" {
+		fields["kind"], fields["detail"], fields["may_have_run"] = r.kind, r.detail, r.mayHaveRun
+		r.relay.Log.WithFields(fields).Warn("relay: request not served")
+		return
+	}
+	r.relay.Log.WithFields(fields).Info("relay: request answered")
+}
--- /dev/null
+++ b/entry/site/backends.go
@@ -0,0 +1,101 @@
+package site
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"papayaport.dev/serving/process/directory"
+	"papayaport.dev/serving/process/membership"
+	"papayaport.dev/serving/request/route"
+)
+
+const (
+	// listShare is the share of the time allowed for a leaving server's new work to end
+	// that passes between two listings; a late or lost one leaves time for another.
+	listShare = 0.35
+	// listTimeout bounds one listing.
+	listTimeout = 900 * time.Millisecond
+	// usualLeaving is the time that a leaving server has when it names none.
+	usualLeaving = 5 * time.Second
+	// evenPrice is the price of every server in the choice of one, in dollars an hour:
+	// servers are billed whether they are used or not.
+	evenPrice = 1
+)
+
+// runDirectory lists the backend servers.
+func (s *Site) runDirectory(ctx context.Context) error {
+	table := directory.New(directory.DefaultReturn)
+	period := time.Duration(listShare * float64(milliseconds(s.set.LeavingMS)))
+	return every(ctx, period, func(ctx context.Context) {
+		limited, cancel := context.WithTimeout(ctx, listTimeout)
+		defer cancel()
+		listed, err := s.platform.Directory.Servers(limited)
+		if ctx.Err() != nil {
+			return
+		}
+		s.contacts.note(s.part("directory"), "directory", err)
+		now := time.Now()
+		if err != nil {
+			table.Failed(now)
+			return
+		}
+		s.setServers(now, table.Listed(now, listed))
+	})
+}
+
+func (s *Site) setServers(now time.Time, servers []directory.Server) {
+	s.logServers(s.backends(), servers)
+	backends := make([]route.Backend, len(servers))
+	for i, server := range servers {
+		s.members.Know(server.ID)
+		backends[i] = route.Backend{
+			ID: server.ID, Incarnation: server.Incarnation, Service: server.Service, Address: server.Address,
+			Region: s.set.Region, FailureDomain: server.FailureDomain, Reclaimable: server.Reclaimable,
+			PricePerHour: evenPrice, Slots: server.Slots,
+		}
+	}
+	s.routes.SetBackends(now, backends)
+	for _, server := range servers {
+		if !server.Leaving {
+			continue
+		}
+		left := server.LeavesIn
+		if left <= 0 {
+			left = usualLeaving
+		}
+		s.send(s.members.Notice(now, membership.Leaving{
+			Instance: server.ID, Incarnation: server.Incarnation, Deadline: now.Add(left),
+		}))
+	}
+	s.applyChanges()
+	s.mu.Lock()
+	s.servers = servers
+	s.mu.Unlock()
+	s.fleetKnown.Store(s.fleetKnown.Load() || len(servers) > 0)
+}
+
+// logServers writes one line for each server that came, left or is gone.
+func (s *Site) logServers(before, now []directory.Server) {
+	known := make(map[string]directory.Server, len(before))
+	for _, server := range before {
+		known[server.ID] = server
+	}
+	log := s.part("directory")
+	for _, server := range now {
+		old, found := known[server.ID]
+		delete(known, server.ID)
+		if found && old.Incarnation == server.Incarnation && old.Leaving == server.Leaving {
+			continue
+		}
+		log.WithFields(logrus.Fields{
+			"backend": server.ID, "incarnation": server.Incarnation, "service": server.Service,
+			"failure_domain": server.FailureDomain, "leaving": server.Leaving, "reclaimable": server.Reclaimable,
+			"address": server.Address,
+		}).Info("directory: backend server listed")
+	}
+	for id := range known {
+		log.WithField("backend", id).Info("directory: backend server gone")
+	}
+}
--- /dev/null
+++ b/entry/site/configuration.go
@@ -0,0 +1,93 @@
+package site
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"papayaport.dev/entry/relay"
+	"papayaport.dev/serving/process/clock"
+	"papayaport.dev/serving/version/deployment"
+	"papayaport.dev/serving/version/service"
+)
+
+const (
+	// configurationRetry is the wait after a failed read of the configuration, a fifth of
+	// the time in which a version must be in force everywhere.
+	configurationRetry = 400 * time.Millisecond
+	// peerFetchTimeout bounds the fetch of a configuration from a peer.
+	peerFetchTimeout = time.Second
+)
+
+// runConfiguration follows the operator's configurations.
+func (s *Site) runConfiguration(ctx context.Context) error {
+	revision := uint64(0)
+	for ctx.Err() == nil {
+		raw, next, err := s.platform.Configurations.Next(ctx, revision)
+		if ctx.Err() != nil {
+			break
+		}
+		s.contacts.note(s.part("configuration"), "configuration", err)
+		if err != nil {
+			// A revision that can't be followed any more is read anew from the start.
+			revision = 0
+			if err := clock.Sleep(ctx, configurationRetry); err != nil {
+				return err
+			}
+			continue
+		}
+		revision = next
+		if len(raw) > 0 {
+			s.adopt(raw, "store")
+		}
+	}
+	return ctx.Err()
+}
+
+// adopt puts a configuration into force unless a version at least as high is.
+func (s *Site) adopt(raw []byte, source string) {
+	log := s.part("configuration").WithField("source", source)
+	decoded, err := s.platform.Configurations.Decode(raw)
+	if err != nil {
+		log.WithError(err).Error("configuration: unreadable, the one in force stays")
+		return
+	}
+	version := deployment.New(decoded)
+	if !s.keeper.Adopt(deployment.Held{Version: version, Raw: raw}) {
+		return
+	}
+	s.admission.SetServices(time.Now(), version.Version, accountLimits(version))
+	for _, account := range version.Accounts {
+		s.members.Know(relay.AccountsService + "/" + account.Name)
+	}
+	s.tellPeers(time.Now())
+	log.WithFields(logrus.Fields{
+		"version": version.Version, "routes": len(version.Routes), "accounts": len(version.Accounts),
+	}).Info("configuration: in force")
+}
+
+// accountLimits gives the limits of client accounts the form of one service file, since
+// they hold over all services.
+func accountLimits(version *deployment.Version) []*service.File {
+	file := &service.File{Name: relay.AccountsService, Queue: service.Queue{MaxRequests: 1}}
+	for _, account := range version.Accounts {
+		file.Accounts = append(file.Accounts, service.Account{
+			Name: account.Name, RequestsPerSecond: account.RequestsPerSecond, TokensPerSecond: account.TokensPerSecond,
+		})
+	}
+	return []*service.File{file}
+}
+
+// fetch reads a configuration from a peer that has a higher version in force, for an
+// instance that the store turns away.
+func (s *Site) fetch(address string) {
+	ctx, cancel := context.WithTimeout(context.Background(), peerFetchTimeout)
+	defer cancel()
+	raw, err := s.peers.Head(ctx, address)
+	if err != nil {
+		s.part("configuration").WithError(err).WithField("peer", address).Warn("configuration: not read from the peer")
+		return
+	}
+	s.adopt(raw, "peer "+address)
+}
--- /dev/null
+++ b/entry/site/exchange.go
@@ -0,0 +1,160 @@
+package site
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"papayaport.dev/serving/connection/peer"
+	"papayaport.dev/serving/process/lease"
+	"papayaport.dev/serving/process/membership"
+)
+
+const (
+	// tellPeriod is the time between two updates of what this instance tells of itself.
+	tellPeriod = 200 * time.Millisecond
+	// exchangeTimeout bounds one exchange with a peer.
+	exchangeTimeout = time.Second
+)
+
+func (s *Site) self() membership.Member {
+	return membership.Member{
+		Instance: s.set.Instance, Incarnation: s.incarnation(), Region: s.set.Region,
+		FailureDomain: s.set.FailureDomain, PeerAddress: s.set.Peers, CallerAddress: s.set.Callers,
+	}
+}
+
+// runExchange exchanges membership messages with peers.
+func (s *Site) runExchange(ctx context.Context) error {
+	told := time.Time{}
+	return every(ctx, membership.TickPeriod, func(context.Context) {
+		now := time.Now()
+		if now.Sub(told) >= tellPeriod {
+			told = now
+			s.tellPeers(now)
+		}
+		s.send(s.members.Tick(now))
+		s.applyChanges()
+	})
+}
+
+// tellPeers updates what peers hear from this instance, and takes in what they told.
+func (s *Site) tellPeers(now time.Time) {
+	local := membership.Local{
+		Draining: s.relay.Draining(), Backends: s.routes.Use(), Accounts: s.admission.Use(now),
+	}
+	if version := s.keeper.Current(); version != nil {
+		local.ConfigVersion = version.Version
+	}
+	s.members.SetLocal(now, local)
+	totals := s.members.Totals(now)
+	s.routes.Peers(now, totals)
+	s.admission.SetEntries(now, s.entries())
+	s.admission.Peers(now, totals)
+}
+
+// send carries exchanges out, each by itself, so that a silent peer holds up no other.
+func (s *Site) send(exchanges []membership.Exchange) {
+	for _, exchange := range exchanges {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), exchangeTimeout)
+			defer cancel()
+			reply, err := s.peers.Exchange(ctx, exchange.Address, exchange.Message)
+			if err != nil {
+				s.part("exchange").WithError(err).Debug("exchange: peer not reached")
+				s.members.Failed(time.Now(), exchange.Address)
+				return
+			}
+			s.members.Receive(time.Now(), reply)
+			s.applyChanges()
+		}()
+	}
+}
+
+// applyChanges acts on what was heard from peers and directory.
+func (s *Site) applyChanges() {
+	for _, change := range s.members.Changes() {
+		switch heard := change.(type) {
+		case membership.LeavingHeard:
+			l := heard.Leaving
+			s.routes.Leaving(time.Now(), l.Instance, l.Incarnation, l.Deadline)
+		case membership.ConfigHeard:
+			if heard.Config.Address != s.set.Peers {
+				go s.fetch(heard.Config.Address)
+			}
+		}
+	}
+}
+
+// handler answers the calls of other entry instances. Requests are neither kept nor
+// handed over here: their answers are opaque.
+type handler struct{ s *Site }
+
+// Exchange takes in a membership message.
+func (h *handler) Exchange(_ context.Context, message membership.Message) (membership.Message, error) {
+	reply := h.s.members.Receive(time.Now(), message)
+	h.s.applyChanges()
+	return reply, nil
+}
+
+// Head gives the configuration in force as it was read.
+func (h *handler) Head(context.Context) ([]byte, error) {
+	raw := h.s.keeper.Raw()
+	if raw == nil {
+		return nil, peer.ErrNotFound
+	}
+	return raw, nil
+}
+
+// Manifest holds nothing here.
+func (h *handler) Manifest(context.Context, string) ([]byte, error) { return nil, peer.ErrNotFound }
+
+// Chunk holds nothing here.
+func (h *handler) Chunk(context.Context, string) ([]byte, error) { return nil, peer.ErrNotFound }
+
+// Action holds nothing here.
+func (h *handler) Action(context.Context, []byte) ([]byte, error) { return nil, peer.ErrNotFound }
+
+// HandOver takes nothing over.
+func (h *handler) HandOver(context.Context, peer.HandOver) error { return peer.ErrNotFound }
+
+// Find holds nothing here.
+func (h *handler) Find(context.Context, string) (bool, error) { return false, nil }
+
+// Attach holds nothing here.
+func (h *handler) Attach(context.Context, string, int64, func([]byte) error) error {
+	return peer.ErrNotFound
+}
+
+// dutyLease is the one lease for all duties, so that their holder is one instance.
+const dutyLease = "duties"
+
+func (s *Site) wantedLeases() []string {
+	if s.relay.Draining() || !s.ready() {
+		return nil
+	}
+	return []string{dutyLease}
+}
+
+func (s *Site) leaseRank(name string) int {
+	var others []string
+	for _, member := range s.members.Live(time.Now()) {
+		others = append(others, member.Instance)
+	}
+	return lease.Rank(name, s.set.Instance, others)
+}
+
+// leaseMargin is added to the time for which the platform counts a duty as its holder's,
+// so that the next holder's first call comes after it.
+const leaseMargin = time.Second
+
+func (s *Site) leaseTTL() time.Duration { return milliseconds(s.set.LeaseMS) + leaseMargin }
+
+// lapsing lets leases end by themselves. A holder that gave its lease up at once could
+// get it back within the time in which the platform takes a change back for a conflict.
+type lapsing struct{ lease.Store }
+
+// Release gives up nothing.
+func (l lapsing) Release(context.Context, string, string, uint64) error { return nil }
+
+func formatIncarnation(incarnation uint64) string { return strconv.FormatUint(incarnation, 10) }
--- /dev/null
+++ b/entry/site/serve.go
@@ -0,0 +1,165 @@
+package site
+
+import (
+	"context"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"papayaport.dev/serving/connection/peer"
+	"papayaport.dev/serving/process/drain"
+)
+
+const (
+	// headerTimeout bounds the time in which a caller sends a request's head, and
+	// idleTimeout how long an unused connection of a caller is kept. Both are longer than
+	// what configurations promise to callers, which are 3 s and 15 s today.
+	headerTimeout = 5 * time.Second
+	idleTimeout   = 40 * time.Second
+	// headerBytes bounds a request's head.
+	headerBytes = 64 << 10
+	// stopPeriod is the time between two steps of a stop.
+	stopPeriod = 50 * time.Millisecond
+	// settleTime is how long a leaving instance accepts new connections: the balancer asks
+	// each second and takes it out after two misses.
+	settleTime = 2600 * time.Millisecond
+	// graceMargin is the part of the grace that is left for the end of the process.
+	graceMargin = 700 * time.Millisecond
+)
+
+// listeners are the servers of the process.
+type listeners struct{ callers, ready *http.Server }
+
+func (s *Site) listen(ctx context.Context, group *errgroup.Group) (*listeners, error) {
+	peers, err := net.Listen("tcp", s.set.Peers)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for peers")
+	}
+	options := peer.DefaultOptions()
+	group.Go(func() error {
+		err := peer.Serve(ctx, peers, &handler{s}, options)
+		if ctx.Err() != nil {
+			return nil
+		}
+		return err
+	})
+	l := &listeners{callers: newServer(s.relay), ready: newServer(http.HandlerFunc(s.answerReady))}
+	if err := serve(group, l.callers, s.set.Callers); err != nil {
+		return nil, err
+	}
+	if err := serve(group, l.ready, s.set.Ready); err != nil {
+		return nil, err
+	}
+	if s.set.Metrics != "" {
+		pages := newServer(http.HandlerFunc(s.answerMetrics))
+		if err := serve(group, pages, s.set.Metrics); err != nil {
+			return nil, err
+		}
+		context.AfterFunc(ctx, func() { closeServer(s.part("site"), pages) })
+	}
+	return l, nil
+}
+
+func newServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
+		// net/http only logs connections that callers broke off here.
+		ErrorLog: log.New(io.Discard, "", 0),
+	}
+}
+
+func serve(group *errgroup.Group, server *http.Server, address string) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	group.Go(func() error {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return nil
+	})
+	return nil
+}
+
+func closeServer(log *logrus.Entry, server *http.Server) {
+	if err := server.Close(); err != nil {
+		log.WithError(err).Debug("site: listener not closed")
+	}
+}
+
+// ready tells whether the instance takes requests. Once it had a configuration and
+// backend servers it stays ready in every outage.
+func (s *Site) ready() bool {
+	return !s.relay.Draining() && s.keeper.Current() != nil && s.fleetKnown.Load()
+}
+
+func (s *Site) answerReady(w http.ResponseWriter, _ *http.Request) {
+	if !s.ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (s *Site) answerMetrics(w http.ResponseWriter, _ *http.Request) {
+	s.meters.WritePrometheus(w)
+	metrics.WriteProcessMetrics(w)
+}
+
+// registerGauges registers the figures that are read when metrics are written.
+func (s *Site) registerGauges() {
+	gauge := func(name string, read func() float64) { s.meters.NewGauge("papayaport_"+name, read) }
+	gauge("in_flight", func() float64 { return float64(s.relay.InFlight()) })
+	gauge("entries", func() float64 { return float64(s.entries()) })
+	gauge("backend_servers", func() float64 { return float64(len(s.backends())) })
+	gauge("config_version", func() float64 {
+		if version := s.keeper.Current(); version != nil {
+			return float64(version.Version)
+		}
+		return 0
+	})
+}
+
+// stop carries out a planned stop: unready first, then no kept connections, then the end
+// once all requests are answered.
+func (s *Site) stop(l *listeners) {
+	log := s.part("site")
+	now := time.Now()
+	deadline := now.Add(milliseconds(s.set.GraceMS) - graceMargin)
+	log.WithFields(logrus.Fields{"in_flight": s.relay.InFlight(), "deadline_ms": strconv.FormatInt(time.Until(deadline).Milliseconds(), 10)}).
+		Info("site: stopping")
+	machine := drain.New(now, drain.Limits{Grace: milliseconds(s.set.GraceMS), Deadline: deadline, Settle: settleTime})
+	for !machine.Ended() {
+		for _, order := range machine.Step(time.Now(), drain.Load{Callers: s.relay.InFlight()}) {
+			log.WithFields(logrus.Fields{"order": order.String(), "in_flight": s.relay.InFlight()}).Info("site: step of the stop")
+			s.carryOut(order, l, log)
+		}
+		time.Sleep(stopPeriod)
+	}
+	log.Info("site: stopped")
+}
+
+func (s *Site) carryOut(order drain.Order, l *listeners, log *logrus.Entry) {
+	switch order {
+	case drain.Unready:
+		s.relay.Drain()
+		s.tellPeers(time.Now())
+		s.send(s.members.Tick(time.Now()))
+	case drain.CloseIdle:
+		l.callers.SetKeepAlivesEnabled(false)
+	case drain.HandOver:
+		// Opaque requests end here; no other instance could go on with them.
+	case drain.Cut, drain.End:
+		closeServer(log, l.callers)
+		closeServer(log, l.ready)
+	}
+}
--- /dev/null
+++ b/entry/site/settings.go
@@ -0,0 +1,113 @@
+package site
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"papayaport.dev/serving/request/route"
+)
+
+// Settings is what an entry instance of a site learns at its start.
+type Settings struct {
+	// Instance is the id of this entry instance.
+	Instance       string   `json:"instance"`
+	Region         string   `json:"region"`
+	FailureDomain  string   `json:"failure_domain"`
+	FailureDomains []string `json:"failure_domains"`
+
+	// Callers, Ready, Peers and Metrics are the addresses "IP:PORT" of the listeners;
+	// Metrics may be empty.
+	Callers string `json:"callers"`
+	Ready   string `json:"ready"`
+	Peers   string `json:"peers"`
+	Metrics string `json:"metrics,omitempty"`
+
+	// SeedPeers are peer addresses to ask first.
+	SeedPeers []string `json:"seed_peers"`
+	// Store and Cloud are the addresses "IP:PORT" of the platform's services.
+	Store string `json:"store"`
+	Cloud string `json:"cloud"`
+
+	MemoryMB int `json:"memory_mb"`
+	// GraceMS is the time between SIGTERM and SIGKILL in milliseconds.
+	GraceMS int64 `json:"grace_ms"`
+	// LeaseMS is the time for which a duty stays with its holder in milliseconds.
+	LeaseMS int64 `json:"lease_ms"`
+	// LeavingMS is the time in milliseconds within which a leaving backend server gets no
+	// new work.
+	LeavingMS int64 `json:"leaving_ms"`
+
+	Retry RetrySettings `json:"retry"`
+	Usage UsageSettings `json:"usage"`
+
+	// Policy is the routing policy.
+	Policy   string `json:"policy"`
+	LogLevel string `json:"log_level"`
+}
+
+// RetrySettings is the budget of repeated sends of a service over all entry instances.
+type RetrySettings struct {
+	// Ratio is the number of repeats for each request.
+	Ratio float64 `json:"ratio"`
+	// WindowMS is the window that the budget holds in, in milliseconds.
+	WindowMS int64 `json:"window_ms"`
+	// Allowance is the number of repeats in a window without requests.
+	Allowance float64 `json:"allowance"`
+}
+
+// UsageSettings describes the usage reports.
+type UsageSettings struct {
+	// WindowMS is the length of a reported window in milliseconds.
+	WindowMS int64 `json:"window_ms"`
+}
+
+func milliseconds(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
+
+// Parse reads settings and returns all faults, each with file, field, value and what is
+// allowed.
+func Parse(file string, data []byte) (Settings, []string) {
+	set := Settings{Policy: route.Papayaport + "_no_price", LogLevel: "info"}
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&set); err != nil {
+		return set, []string{fmt.Sprintf("%s: %v", file, err)}
+	}
+	return set, set.faults(file)
+}
+
+func (s *Settings) faults(file string) []string {
+	var faults []string
+	add := func(field string, value any, allowed string) {
+		faults = append(faults, fmt.Sprintf("%s: %s is %q, allowed is %s", file, field, fmt.Sprint(value), allowed))
+	}
+	for field, value := range map[string]string{"instance": s.Instance, "region": s.Region, "failure_domain": s.FailureDomain} {
+		if value == "" {
+			add(field, value, "a name")
+		}
+	}
+	for field, value := range map[string]string{"callers": s.Callers, "ready": s.Ready, "peers": s.Peers, "store": s.Store} {
+		if _, _, err := net.SplitHostPort(value); err != nil {
+			add(field, value, "IP:PORT")
+		}
+	}
+	for field, value := range map[string]int64{
+		"memory_mb": int64(s.MemoryMB), "grace_ms": s.GraceMS, "lease_ms": s.LeaseMS, "leaving_ms": s.LeavingMS,
+		"retry.window_ms": s.Retry.WindowMS, "usage.window_ms": s.Usage.WindowMS,
+	} {
+		if value <= 0 {
+			add(field, value, "a number above 0")
+		}
+	}
+	if s.Retry.Ratio < 0 || s.Retry.Allowance < 0 {
+		add("retry", s.Retry, "numbers from 0")
+	}
+	if _, err := logrus.ParseLevel(s.LogLevel); err != nil {
+		add("log_level", s.LogLevel, "debug, info, warning or error")
+	}
+	return faults
+}
--- /dev/null
+++ b/entry/site/site.go
@@ -0,0 +1,245 @@
+// Package site runs an entry instance at a site whose platform has a store, a directory
+// of backend servers and a dialect of its own. It joins the relay, the exchange with
+// peers, the configuration, the leases and the duties into one process.
+//
+// The platform is met through small interfaces; whoever runs a site implements them and
+// nothing else. What must outlast this process is kept in the platform's store.
+//
+// # Usage
+//
+//	s, err := site.New(settings, site.Platform{...}, log)
+//	err = s.Run(ctx) // until ctx ends, and then until all requests are answered
+package site
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"papayaport.dev/entry/relay"
+	"papayaport.dev/serving/connection/peer"
+	"papayaport.dev/serving/connection/upstream"
+	"papayaport.dev/serving/process/clock"
+	"papayaport.dev/serving/process/directory"
+	"papayaport.dev/serving/process/lease"
+	"papayaport.dev/serving/process/membership"
+	"papayaport.dev/serving/process/platform"
+	"papayaport.dev/serving/process/sizing"
+	"papayaport.dev/serving/process/usage"
+	"papayaport.dev/serving/request/admission"
+	"papayaport.dev/serving/request/budget"
+	"papayaport.dev/serving/request/route"
+	"papayaport.dev/serving/version/deployment"
+)
+
+// Store keeps what must outlast a process. Errors are those of the package store.
+type Store interface {
+	lease.Store
+	Get(ctx context.Context, key string) (platform.Entry, error)
+	List(ctx context.Context, prefix string) (platform.Entries, error)
+	Put(ctx context.Context, key string, value []byte, ifRevision uint64) (platform.Entry, error)
+}
+
+// Configurations is where operators put configurations.
+type Configurations interface {
+	// Next waits for a configuration written behind a revision, 0 for any. It returns an
+	// empty one when none came in time.
+	Next(ctx context.Context, after uint64) (raw []byte, revision uint64, err error)
+	Decode(raw []byte) (deployment.Deployment, error)
+}
+
+// Directory lists the backend servers.
+type Directory interface {
+	Servers(ctx context.Context) ([]directory.Server, error)
+}
+
+// Duty names the holder of a duty towards the platform.
+type Duty struct {
+	Holder string
+	// Fencing grows with every change of the holder.
+	Fencing uint64
+}
+
+// Duties are the calls that one entry instance makes for all.
+type Duties interface {
+	Report(ctx context.Context, duty Duty, window usage.Window) error
+	// Order sets a number of backend servers. ErrNoneAvailable tells that there are none now.
+	Order(ctx context.Context, duty Duty, order sizing.Order) error
+}
+
+// ErrNoneAvailable tells that the platform has no backend server of the wanted kind now.
+var ErrNoneAvailable = errors.New("no backend servers available")
+
+// Platform is the outside of a site.
+type Platform struct {
+	Store          Store
+	Configurations Configurations
+	Directory      Directory
+	Duties         Duties
+	Codec          relay.Codec
+	// EchoHeader is the header in which backend servers repeat a request's id.
+	EchoHeader string
+}
+
+// dialTimeout bounds the set-up of a connection to a backend server: within a region a
+// live one answers in milliseconds, and a lost packet is sent again after a second.
+const dialTimeout = 1200 * time.Millisecond
+
+// Site is one entry instance.
+type Site struct {
+	set      Settings
+	platform Platform
+	log      *logrus.Logger
+	started  time.Time
+	meters   *metrics.Set
+
+	keeper    deployment.Keeper
+	relay     *relay.Relay
+	routes    *route.Table
+	admission *admission.Table
+	budget    *budget.Table
+	pool      *upstream.Pool
+	usage     *usage.Counter
+	members   *membership.Table
+	peers     *peer.Client
+	leases    *lease.Leases
+
+	// mu guards servers and listed. Nothing is locked under it.
+	mu      sync.Mutex
+	servers []directory.Server
+	// listed is the number of entry instances by the store, this one included.
+	listed int
+
+	// fleetKnown is set once backend servers were listed.
+	fleetKnown atomic.Bool
+	record     recordKeeper
+	planner    *sizing.Planner
+	contacts   contacts
+}
+
+// New joins the parts of an entry instance. Nothing runs yet.
+func New(set Settings, p Platform, log *logrus.Logger) (*Site, error) {
+	s := &Site{set: set, platform: p, log: log, started: time.Now(), meters: metrics.NewSet(), listed: 1, planner: sizing.New()}
+	random := rand.New(rand.NewPCG(uint64(s.started.UnixNano()), 1))
+	seeded := func() *rand.Rand { return rand.New(rand.NewPCG(random.Uint64(), random.Uint64())) }
+	var err error
+	here := route.Self{Region: set.Region, FailureDomain: set.FailureDomain}
+	if s.routes, err = route.New(here, set.Policy, seeded()); err != nil {
+		return nil, errors.Wrap(err, "policy")
+	}
+	s.admission = admission.New()
+	s.budget = budget.New(budget.Limits{
+		Ratio: set.Retry.Ratio, Window: milliseconds(set.Retry.WindowMS), Allowance: set.Retry.Allowance,
+	})
+	dialled := s.meters.NewCounter("papayaport_backend_dials_total")
+	s.pool = upstream.New(upstream.Options{DialTimeout: dialTimeout, EchoHeader: p.EchoHeader, Dialled: dialled.Inc})
+	s.usage = usage.New(milliseconds(set.Usage.WindowMS))
+	s.members = membership.New(s.self(), set.SeedPeers, seeded(), membership.DefaultBudget)
+	s.peers = peer.New(peer.DefaultOptions())
+	s.leases = lease.New(lapsing{p.Store}, set.Instance+"/"+formatIncarnation(s.incarnation()), s.wantedLeases, s.leaseRank,
+		s.leaseTTL(), clock.Boot, seeded())
+	s.relay = relay.New(relay.Parts{
+		Versions: &s.keeper, Routes: s.routes, Admission: s.admission, Budget: s.budget, Pool: s.pool, Usage: s.usage,
+		Codec: p.Codec, Meters: relay.NewMeters(s.meters), Entries: s.entries, Draw: rand.Float64, Log: s.part("relay"),
+	})
+	s.registerGauges()
+	return s, nil
+}
+
+func (s *Site) incarnation() uint64 { return uint64(s.started.UnixMilli()) }
+
+func (s *Site) part(name string) *logrus.Entry {
+	return s.log.WithFields(logrus.Fields{"instance": s.set.Instance, "part": name})
+}
+
+// memoryShare is the share of the memory limit at which the garbage collector works
+// harder; the rest is for stacks of the kernel and unread bytes.
+const memoryShare = 0.75
+
+// Run serves until ctx ends, and then until every request is answered or the grace is over.
+func (s *Site) Run(ctx context.Context) error {
+	debug.SetMemoryLimit(int64(memoryShare * float64(s.set.MemoryMB) * (1 << 20)))
+	running, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	group, running := errgroup.WithContext(running)
+	listeners, err := s.listen(running, group)
+	if err != nil {
+		return err
+	}
+	for _, loop := range []func(context.Context) error{
+		s.runConfiguration, s.runDirectory, s.runExchange, s.runRecord, s.leases.Run, s.runDuties, s.runTicks,
+	} {
+		group.Go(func() error {
+			err := loop(running)
+			if running.Err() != nil {
+				return nil
+			}
+			return err
+		})
+	}
+	s.part("site").WithFields(logrus.Fields{"callers": s.set.Callers, "incarnation": s.incarnation()}).Info("site: started")
+	select {
+	case <-ctx.Done():
+		s.stop(listeners)
+	case <-running.Done():
+	}
+	cancel()
+	err = group.Wait()
+	if closeErr := s.peers.Close(); closeErr != nil {
+		s.part("site").WithError(closeErr).Debug("site: connections to peers not closed")
+	}
+	if errors.Is(err, context.Canceled) || errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// every calls step at once and then with a period, until ctx ends.
+func every(ctx context.Context, period time.Duration, step func(ctx context.Context)) error {
+	for {
+		step(ctx)
+		if err := clock.Sleep(ctx, period); err != nil {
+			return err
+		}
+	}
+}
+
+// tickPeriod is the time between two looks at unused connections and waiting requests.
+const tickPeriod = 250 * time.Millisecond
+
+func (s *Site) runTicks(ctx context.Context) error {
+	return every(ctx, tickPeriod, func(context.Context) {
+		now := time.Now()
+		listed := map[string]bool{}
+		for _, server := range s.backends() {
+			listed[server.ID] = true
+		}
+		s.pool.Tick(now, func(id string) bool { return listed[id] })
+		s.admission.Tick(now)
+		s.budget.SetEntries(s.entries())
+	})
+}
+
+// entries returns the number of entry instances: those that are live, or those that the
+// store lists when that is more.
+func (s *Site) entries() int {
+	s.mu.Lock()
+	listed := s.listed
+	s.mu.Unlock()
+	return max(listed, len(s.members.Live(time.Now()))+1)
+}
+
+func (s *Site) backends() []directory.Server {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.servers
+}
--- a/serving/process/drain/drain.go
+++ b/serving/process/drain/drain.go
@@ -58,6 +58,8 @@
 	Grace time.Duration
 	// Deadline is when the instance is taken away; zero for a stop that may last.
 	Deadline time.Time
+	// Settle replaces SettleTime when it is positive, for balancers that ask seldom.
+	Settle time.Duration
 }
 
 // Load is what an entry instance still has to do.
@@ -117,7 +119,11 @@
 }
 
 func (m *Machine) settled(now time.Time) bool {
-	return now.Sub(m.started) >= SettleTime || m.within(now, CutLead)
+	settle := SettleTime
+	if m.limits.Settle > 0 {
+		settle = m.limits.Settle
+	}
+	return now.Sub(m.started) >= settle || m.within(now, CutLead)
 }
 
 // within tells whether the deadline is less than lead away.
