--- a/entry/relay/plain.go
+++ b/entry/relay/plain.go
@@ -32,7 +32,7 @@
 			r.writePlain(w, answer, body)
 			return nil
 		}
-		if r.again(ctx, r.route.MayRepeat()) {
+		if r.again(ctx, err) {
 			continue
 		}
 		if failed {
--- a/entry/relay/prompt.go
+++ b/entry/relay/prompt.go
@@ -9,15 +9,6 @@
 	"papayaport.dev/serving/connection/engine"
 	"papayaport.dev/serving/request/prefix"
 	"papayaport.dev/serving/request/route"
-	"papayaport.dev/serving/version/deployment"
-)
-
-// What the engines of the users' sheets do; their answers don't tell it.
-const (
-	// prefillPerSecond is the number of prompt tokens that an engine reads in a second.
-	prefillPerSecond = 56_000
-	// decodeMS is the time between two tokens of a half-full batch in milliseconds.
-	decodeMS = 12
 )
 
 // blocks names the prefixes of a prompt block by block. The last part is the request's
@@ -39,10 +30,8 @@
 }
 
 // report takes in the load that a backend server told with an answer.
-func (r *Relay) report(now time.Time, b route.Backend, load Load, version *deployment.Version) {
-	told := engine.Load{Incarnation: b.Incarnation, Running: load.Running, Queued: load.Waiting, Slots: load.Slots}
-	if s, found := version.Service(b.Service); found && s.Engine != nil {
-		told.CacheCapacity, told.PrefillPerSec, told.DecodeMS = s.Engine.CacheTokens, prefillPerSecond, decodeMS
-	}
-	r.Routes.Report(now, b.ID, told)
+func (r *Relay) report(now time.Time, b route.Backend, load Load) {
+	r.Routes.Report(now, b.ID, engine.Load{
+		Incarnation: b.Incarnation, Running: load.Running, Queued: load.Waiting, Slots: load.Slots,
+	})
 }
--- a/entry/relay/run.go
+++ b/entry/relay/run.go
@@ -232,7 +232,7 @@
 func (r *run) noteAnswer(a *attempt) {
 	now := time.Now()
 	if a.answer.Load != nil {
-		r.relay.report(now, a.choice.Backend, *a.answer.Load, r.version)
+		r.relay.report(now, a.choice.Backend, *a.answer.Load)
 	}
 	r.attempts++
 	r.relay.Meters.attempted(r.service)
@@ -259,10 +259,11 @@
 	a.cancel(nil)
 }
 
-// again tells whether another attempt may follow one that failed, and takes it from the
-// budget of repeats. What never left costs nothing.
-func (r *run) again(ctx context.Context, mayRepeat bool) bool {
-	if ctx.Err() != nil || (r.mayHaveRun && !mayRepeat) {
+// again tells whether another attempt may follow one that failed for a cause, and takes
+// it from the budget of repeats. What never left costs nothing.
+func (r *run) again(ctx context.Context, cause error) bool {
+	var refusal *problem.Error
+	if ctx.Err() != nil || errors.As(cause, &refusal) || (r.mayHaveRun && !r.route.MayRepeat()) {
 		return false
 	}
 	if r.attempts == 0 {
--- a/entry/relay/stream.go
+++ b/entry/relay/stream.go
@@ -40,7 +40,7 @@
 		if err == nil {
 			return nil
 		}
-		if r.again(ctx, r.route.MayRepeat()) {
+		if r.again(ctx, err) {
 			continue
 		}
 		err = r.givenUp(ctx, err, answer.RetryAfter)
--- a/entry/site/backends.go
+++ b/entry/site/backends.go
@@ -9,6 +9,7 @@
 	"papayaport.dev/serving/process/directory"
 	"papayaport.dev/serving/process/membership"
 	"papayaport.dev/serving/request/route"
+	"papayaport.dev/serving/version/deployment"
 )
 
 const (
@@ -22,6 +23,11 @@
 	// evenPrice is the price of every server in the choice of one, in dollars an hour:
 	// servers are billed whether they are used or not.
 	evenPrice = 1
+	// prefillPerSecond and decodeMS are what the engines of the users' sheets do, which
+	// their answers don't tell: prompt tokens read in a second, and the milliseconds
+	// between two tokens of a half-full batch.
+	prefillPerSecond = 56_000
+	decodeMS         = 12
 )
 
 // runDirectory lists the backend servers.
@@ -55,6 +61,9 @@
 			Region: s.set.Region, FailureDomain: server.FailureDomain, Reclaimable: server.Reclaimable,
 			PricePerHour: evenPrice, Slots: server.Slots,
 		}
+		if engine := s.engineOf(server.Service); engine != nil {
+			backends[i].PrefillPerSec, backends[i].DecodeMS, backends[i].CacheTokens = prefillPerSecond, decodeMS, engine.CacheTokens
+		}
 	}
 	s.routes.SetBackends(now, backends)
 	for _, server := range servers {
@@ -76,6 +85,17 @@
 	s.fleetKnown.Store(s.fleetKnown.Load() || len(servers) > 0)
 }
 
+func (s *Site) engineOf(name string) *deployment.Engine {
+	version := s.keeper.Current()
+	if version == nil {
+		return nil
+	}
+	if svc, found := version.Service(name); found {
+		return svc.Engine
+	}
+	return nil
+}
+
 // logServers writes one line for each server that came, left or is gone.
 func (s *Site) logServers(before, now []directory.Server) {
 	known := make(map[string]directory.Server, len(before))
--- a/entry/site/serve.go
+++ b/entry/site/serve.go
@@ -134,10 +134,10 @@
 func (s *Site) stop(l *listeners) {
 	log := s.part("site")
 	now := time.Now()
-	deadline := now.Add(milliseconds(s.set.GraceMS) - graceMargin)
+	deadline := now.Add(seconds(s.set.GraceS) - graceMargin)
 	log.WithFields(logrus.Fields{"in_flight": s.relay.InFlight(), "deadline_ms": strconv.FormatInt(time.Until(deadline).Milliseconds(), 10)}).
 		Info("site: stopping")
-	machine := drain.New(now, drain.Limits{Grace: milliseconds(s.set.GraceMS), Deadline: deadline, Settle: settleTime})
+	machine := drain.New(now, drain.Limits{Grace: seconds(s.set.GraceS), Deadline: deadline, Settle: settleTime})
 	for !machine.Ended() {
 		for _, order := range machine.Step(time.Now(), drain.Load{Callers: s.relay.InFlight()}) {
 			log.WithFields(logrus.Fields{"order": order.String(), "in_flight": s.relay.InFlight()}).Info("site: step of the stop")
--- a/entry/site/settings.go
+++ b/entry/site/settings.go
@@ -34,8 +34,8 @@
 	Cloud string `json:"cloud"`
 
 	MemoryMB int `json:"memory_mb"`
-	// GraceMS is the time between SIGTERM and SIGKILL in milliseconds.
-	GraceMS int64 `json:"grace_ms"`
+	// GraceS is the time between SIGTERM and SIGKILL in seconds.
+	GraceS float64 `json:"grace_s"`
 	// LeaseMS is the time for which a duty stays with its holder in milliseconds.
 	LeaseMS int64 `json:"lease_ms"`
 	// LeavingMS is the time in milliseconds within which a leaving backend server gets no
@@ -54,18 +54,20 @@
 type RetrySettings struct {
 	// Ratio is the number of repeats for each request.
 	Ratio float64 `json:"ratio"`
-	// WindowMS is the window that the budget holds in, in milliseconds.
-	WindowMS int64 `json:"window_ms"`
+	// WindowS is the window that the budget holds in, in seconds.
+	WindowS float64 `json:"window_s"`
 	// Allowance is the number of repeats in a window without requests.
 	Allowance float64 `json:"allowance"`
 }
 
 // UsageSettings describes the usage reports.
 type UsageSettings struct {
-	// WindowMS is the length of a reported window in milliseconds.
-	WindowMS int64 `json:"window_ms"`
+	// WindowS is the length of a reported window in seconds.
+	WindowS float64 `json:"window_s"`
 }
 
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
 func milliseconds(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
 
 // Parse reads settings and returns all faults, each with file, field, value and what is
@@ -95,9 +97,9 @@
 			add(field, value, "IP:PORT")
 		}
 	}
-	for field, value := range map[string]int64{
-		"memory_mb": int64(s.MemoryMB), "grace_ms": s.GraceMS, "lease_ms": s.LeaseMS, "leaving_ms": s.LeavingMS,
-		"retry.window_ms": s.Retry.WindowMS, "usage.window_ms": s.Usage.WindowMS,
+	for field, value := range map[string]float64{
+		"memory_mb": float64(s.MemoryMB), "grace_s": s.GraceS, "lease_ms": float64(s.LeaseMS),
+		"leaving_ms": float64(s.LeavingMS), "retry.window_s": s.Retry.WindowS, "usage.window_s": s.Usage.WindowS,
 	} {
 		if value <= 0 {
 			add(field, value, "a number above 0")
--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -138,11 +138,11 @@
 	}
 	s.admission = admission.New()
 	s.budget = budget.New(budget.Limits{
-		Ratio: set.Retry.Ratio, Window: milliseconds(set.Retry.WindowMS), Allowance: set.Retry.Allowance,
+		Ratio: set.Retry.Ratio, Window: seconds(set.Retry.WindowS), Allowance: set.Retry.Allowance,
 	})
 	dialled := s.meters.NewCounter("papayaport_backend_dials_total")
 	s.pool = upstream.New(upstream.Options{DialTimeout: dialTimeout, EchoHeader: p.EchoHeader, Dialled: dialled.Inc})
-	s.usage = usage.New(milliseconds(set.Usage.WindowMS))
+	s.usage = usage.New(seconds(set.Usage.WindowS))
 	s.members = membership.New(s.self(), set.SeedPeers, seeded(), membership.DefaultBudget)
 	s.peers = peer.New(peer.DefaultOptions())
 	s.leases = lease.New(lapsing{p.Store}, set.Instance+"/"+formatIncarnation(s.incarnation()), s.wantedLeases, s.leaseRank,
--- a/serving/request/route/route.go
+++ b/serving/request/route/route.go
@@ -50,6 +50,12 @@
 	PricePerHour float64
 	// Slots is the number of requests that the server runs at a time; 0 means unknown.
 	Slots int
+	// PrefillPerSec, DecodeMS and CacheTokens stand for what the server does not report
+	// itself: prompt tokens read in a second, the time between two tokens, and the size of
+	// the cache. 0 means unknown.
+	PrefillPerSec float64
+	DecodeMS      float64
+	CacheTokens   int
 }
 
 // Request is what the choice of a backend server depends on.
--- a/serving/request/route/speed.go
+++ b/serving/request/route/speed.go
@@ -40,13 +40,22 @@
 		cacheBlocks: load.CacheCapacity / prefix.BlockTokens,
 	}
 	rate := load.PrefillPerSec
+	if rate <= 0 {
+		rate = b.PrefillPerSec
+	}
 	if rate <= 0 {
 		rate = usualPrefillPerSec
 	}
 	s.prefill = float64(time.Second) / rate
+	if s.between <= 0 {
+		s.between = time.Duration(b.DecodeMS * float64(time.Millisecond))
+	}
 	if s.between <= 0 {
 		s.between = usualDecode
 	}
+	if s.cacheBlocks <= 0 {
+		s.cacheBlocks = b.CacheTokens / prefix.BlockTokens
+	}
 	if s.slots <= 0 {
 		s.slots = b.Slots
 	}
