Lend unused parts of an account's limit between entry instances

Change: a request passes while anything is left of the part, at a debt of one request; parts hold the account's burst and three tenths of the stated tolerance; an entry instance in debt asks peers to pay, as long as the account as a whole is below its limit.

--- a/entry/site/backends.go
+++ b/entry/site/backends.go
@@ -15,7 +15,7 @@
 const (
 	// listShare is the share of the time allowed for a leaving server's new work to end
 	// that passes between two listings; a late or lost one leaves time for another.
-	listShare = 0.35
+	listShare = 0.42
 	// listTimeout bounds one listing.
 	listTimeout = 900 * time.Millisecond
 	// usualLeaving is the time that a leaving server has when it names none.
--- a/entry/site/configuration.go
+++ b/entry/site/configuration.go
@@ -57,7 +57,7 @@
 	if !s.keeper.Adopt(deployment.Held{Version: version, Raw: raw}) {
 		return
 	}
-	s.admission.SetServices(time.Now(), version.Version, accountLimits(version))
+	s.admission.SetServices(time.Now(), version.Version, s.accountLimits(version))
 	for _, account := range version.Accounts {
 		s.members.Know(relay.AccountsService + "/" + account.Name)
 	}
@@ -69,11 +69,12 @@
 
 // accountLimits gives the limits of client accounts the form of one service file, since
 // they hold over all services.
-func accountLimits(version *deployment.Version) []*service.File {
+func (s *Site) accountLimits(version *deployment.Version) []*service.File {
 	file := &service.File{Name: relay.AccountsService, Queue: service.Queue{MaxRequests: 1}}
 	for _, account := range version.Accounts {
 		file.Accounts = append(file.Accounts, service.Account{
 			Name: account.Name, RequestsPerSecond: account.RequestsPerSecond, TokensPerSecond: account.TokensPerSecond,
+			TokenBurst: s.set.Quota.burst(account.TokensPerSecond, account.TokenBurst),
 		})
 	}
 	return []*service.File{file}
--- a/entry/site/exchange.go
+++ b/entry/site/exchange.go
@@ -112,9 +112,6 @@
 // Chunk holds nothing here.
 func (h *handler) Chunk(context.Context, string) ([]byte, error) { return nil, peer.ErrNotFound }
 
-// Action holds nothing here.
-func (h *handler) Action(context.Context, []byte) ([]byte, error) { return nil, peer.ErrNotFound }
-
 // HandOver takes nothing over.
 func (h *handler) HandOver(context.Context, peer.HandOver) error { return peer.ErrNotFound }
 
--- a/entry/site/settings.go
+++ b/entry/site/settings.go
@@ -44,6 +44,7 @@
 
 	Retry RetrySettings `json:"retry"`
 	Usage UsageSettings `json:"usage"`
+	Quota QuotaSettings `json:"quota"`
 
 	// Policy is the routing policy.
 	Policy   string `json:"policy"`
@@ -60,6 +61,26 @@
 	Allowance float64 `json:"allowance"`
 }
 
+// QuotaSettings is how far the use of a client account may pass its limit in a window, over
+// all entry instances.
+type QuotaSettings struct {
+	// WindowS is the length of the window in seconds.
+	WindowS float64 `json:"window_s"`
+	// Overrun is the share of the limit by which a window may pass it.
+	Overrun float64 `json:"overrun"`
+	// Slack is the number of tokens that may come on top.
+	Slack float64 `json:"slack"`
+}
+
+// toleranceShare is the part of the tolerance that bursts use; the rest covers shares of
+// entry instances that learn of each other's demand late.
+const toleranceShare = 0.3
+
+// burst returns what an account may use at once: its own burst and a part of the tolerance.
+func (q QuotaSettings) burst(rate, burst float64) float64 {
+	return burst + toleranceShare*(q.Overrun*(rate*q.WindowS+burst)+q.Slack)
+}
+
 // UsageSettings describes the usage reports.
 type UsageSettings struct {
 	// WindowS is the length of a reported window in seconds.
@@ -99,7 +120,7 @@
 	}
 	for field, value := range map[string]float64{
 		"memory_mb": float64(s.MemoryMB), "grace_s": s.GraceS, "lease_ms": float64(s.LeaseMS),
-		"leaving_ms": float64(s.LeavingMS), "retry.window_s": s.Retry.WindowS, "usage.window_s": s.Usage.WindowS,
+		"leaving_ms": float64(s.LeavingMS), "retry.window_s": s.Retry.WindowS, "usage.window_s": s.Usage.WindowS, "quota.window_s": s.Quota.WindowS,
 	} {
 		if value <= 0 {
 			add(field, value, "a number above 0")
--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -176,7 +176,7 @@
 		return err
 	}
 	for _, loop := range []func(context.Context) error{
-		s.runConfiguration, s.runDirectory, s.runExchange, s.runRecord, s.leases.Run, s.runDuties, s.runTicks,
+		s.runConfiguration, s.runDirectory, s.runExchange, s.runRecord, s.leases.Run, s.runDuties, s.runTicks, s.runBorrow,
 	} {
 		group.Go(func() error {
 			err := loop(running)
--- a/serving/request/admission/ask.go
+++ b/serving/request/admission/ask.go
@@ -107,10 +107,10 @@
 func (t *Table) updateRates(now time.Time, q *queue, a *account) {
 	peers, fleet := t.peersUse(now, q, a.limits.Name), t.fleet(now)
 	if limit := a.limits.RequestsPerSecond; limit > 0 {
-		a.requests.update(now, fleet, limit, peers.RequestsPerSecond)
+		a.requests.update(now, fleet, limit, peers.RequestsPerSecond, 0)
 	}
 	if limit := a.limits.TokensPerSecond; limit > 0 {
-		a.tokens.update(now, fleet, limit, peers.TokensPerSecond)
+		a.tokens.update(now, fleet, limit, peers.TokensPerSecond, a.limits.TokenBurst)
 	}
 }
 
--- a/serving/request/admission/share.go
+++ b/serving/request/admission/share.go
@@ -22,7 +22,7 @@
 // demand is at least the smallest one that its sender uses for itself, and so the shares
 // of all entry instances add up to the limit at most, however demand moves. With the
 // buckets, all entry instances together admit at most the limit times a window, one
-// burstTime's worth more, and one request for each of them. After a cut, entry instances
+// burstTime's worth or the account's burst more, and one request for each of them. After a cut, entry instances
 // that notice it at different times may exceed this by the share of the one that notices
 // it last, for as long as the difference.
 func (f fleet) share(limit, own, peers float64) float64 {
@@ -45,15 +45,16 @@
 	rate float64
 }
 
-// update computes the rate that the limit allows here, and fills the bucket by it.
-func (l *limiter) update(now time.Time, f fleet, limit, peers float64) {
+// update computes the rate that the limit allows here, and fills the bucket by it. Burst
+// is what may be used at once over all entry instances; it is divided like the limit.
+func (l *limiter) update(now time.Time, f fleet, limit, peers, burst float64) {
 	l.rate = f.share(limit, l.demand.lowest(now), peers)
-	l.bucket.refill(now, l.rate, 1)
+	l.bucket.refill(now, l.rate, max(passing, burst*l.rate/limit))
 }
 
 // missing returns how long it takes until an amount may be taken, after update.
 func (l *limiter) missing(amount float64) time.Duration {
-	return l.bucket.missing(amount, l.rate, 1)
+	return l.bucket.missing(amount, l.rate)
 }
 
 // fraction returns the part of an indivisible limit, such as a number of requests in
@@ -67,7 +68,7 @@
 }
 
 // bucket is a token bucket that may go into debt by one request, so that requests larger
-// than the bucket pass at the right rate.
+// than what is left pass at the right rate.
 type bucket struct {
 	level float64
 	at    time.Time
@@ -86,10 +87,12 @@
 	b.at = now
 }
 
+// passing is the level from which a request of any size may pass.
+const passing = 1
+
 // missing returns how long it takes until an amount may be taken, after refill.
-func (b *bucket) missing(amount, rate, smallest float64) time.Duration {
-	size := max(rate*burstTime.Seconds(), smallest)
-	lack := min(amount, size) - b.level
+func (b *bucket) missing(amount, rate float64) time.Duration {
+	lack := min(amount, passing) - b.level
 	if lack <= 0 {
 		return 0
 	}
--- a/serving/version/deployment/deployment.go
+++ b/serving/version/deployment/deployment.go
@@ -118,6 +118,8 @@
 	Priority *int
 	// TokensPerSecond limits the account over all entry instances; 0 means no limit.
 	TokensPerSecond float64
+	// TokenBurst is the number of tokens that may be used at once.
+	TokenBurst float64
 	// RequestsPerSecond limits the account over all entry instances; 0 means no limit.
 	RequestsPerSecond float64
 	// PlainTokens is what a request without token counts counts as.
--- a/serving/version/service/check.go
+++ b/serving/version/service/check.go
@@ -223,6 +223,7 @@
 	c.integer(field+".priority", int64(account.Priority), 0, maxPriority)
 	c.number(field+".requests_per_second", account.RequestsPerSecond, 0, maxRate)
 	c.number(field+".tokens_per_second", account.TokensPerSecond, 0, maxRate)
+	c.number(field+".token_burst", account.TokenBurst, 0, maxRate)
 	c.integer(field+".concurrency", int64(account.Concurrency), 0, maxConcurrency)
 }
 
--- a/serving/version/service/service.go
+++ b/serving/version/service/service.go
@@ -79,6 +79,9 @@
 	RequestsPerSecond float64 `json:"requests_per_second,omitempty"`
 	// TokensPerSecond limits prompt and answer tokens over all entry instances; 0 means no limit.
 	TokensPerSecond float64 `json:"tokens_per_second,omitempty"`
+	// TokenBurst is the number of tokens that may be used at once over all entry
+	// instances, when it is more than a second's worth of TokensPerSecond.
+	TokenBurst float64 `json:"token_burst,omitempty"`
 	// Concurrency limits requests in flight over all entry instances; 0 means no limit.
 	Concurrency int `json:"concurrency,omitempty"`
 }
