Size fleets for waves of reclaims

Change: on-demand servers start once two domains are left, all of the need without any; orders are repeated at once when servers went.

--- a/entry/site/borrow.go
+++ b/entry/site/borrow.go
@@ -13,7 +13,7 @@
 
 const (
 	// borrowPeriod is the time between two looks at the debts of client accounts.
-	borrowPeriod = 150 * time.Millisecond
+	borrowPeriod = 200 * time.Millisecond
 	// lenders is the number of peers that are asked for one debt at a time.
 	lenders = 3
 	// lendTimeout bounds the call to one of them.
--- a/serving/process/sizing/sizing.go
+++ b/serving/process/sizing/sizing.go
@@ -19,6 +19,8 @@
 package sizing
 
 import (
+	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -31,18 +33,24 @@
 	// tokens is still well within the targets of interactive use.
 	slotShare = 0.3
 	// prefillPerServer is the number of uncached prompt tokens that an engine should read
-	// in a second, a third of what the engines of today's deployments can.
-	prefillPerServer = 20_000
-	// leastPerDomain is the number of servers in a failure domain without any load, so
-	// that a second one takes over when one crashes.
-	leastPerDomain = 1
+	// in a second, a quarter of what the engines of today's deployments can, so that a
+	// long prompt seldom waits for another.
+	prefillPerServer = 15_000
 	// shrinkAfter is how long the load must stay below before servers are given up.
 	shrinkAfter = 15 * time.Second
 	// refusedFor is how long a refused kind of server is not asked for again.
 	refusedFor = 3 * time.Second
-	// repeatAfter is the time after which a standing order is sent again, in case that its
-	// effect was lost.
-	repeatAfter = 12 * time.Second
+	// settleTime is how long after an order the platform may still show the count before.
+	settleTime = time.Second
+	// startSlack is added to the boot time before servers that were ordered and are not
+	// listed are ordered again.
+	startSlack = 4 * time.Second
+	// firstShare divides the servers that stand when a planner starts into those that the
+	// load is taken to need: fleets are left with a reserve.
+	firstShare = 2
+	// insuredDomains is the number of failure domains with reclaimable servers from which
+	// on on-demand ones are started: the next reclaim may come before any could boot.
+	insuredDomains = 2
 )
 
 // Count is the number of servers of each kind.
@@ -77,6 +85,8 @@
 	count   int
 	at      time.Time
 	refused time.Time
+	// seen is the largest number of live servers since the order.
+	seen int
 }
 
 // Planner remembers what was ordered.
@@ -113,52 +123,123 @@
 	if bounds == nil || in.Service.Engine == nil || len(in.Live) == 0 {
 		return nil
 	}
-	domains := make([]string, 0, len(in.Live))
-	for domain := range in.Live {
-		domains = append(domains, domain)
+	need := p.heldNeed(now, in)
+	var wanted []Order
+	if bounds.ReclaimablePrice > 0 {
+		wanted = p.reclaimable(in, need)
 	}
-	slices.Sort(domains)
-	each := p.perDomain(now, in, len(domains))
 	var orders []Order
-	for _, domain := range domains {
-		for _, order := range p.wanted(now, in, domain, each) {
-			if p.due(now, order) {
-				orders = append(orders, order)
-			}
+	for _, order := range append(wanted, p.onDemand(in, need)...) {
+		if p.due(now, in, order) {
+			orders = append(orders, order)
 		}
 	}
 	return orders
 }
 
-// perDomain returns the servers for each failure domain, those for the loss of one included.
-func (p *Planner) perDomain(now time.Time, in Input, domains int) int {
+// heldNeed returns the largest need of late.
+func (p *Planner) heldNeed(now time.Time, in Input) int {
 	need := Need(in)
-	held := p.peaks[in.Service.Name]
+	held, known := p.peaks[in.Service.Name]
+	if !known {
+		// The load before is not known; the servers that stand are the only trace of it.
+		held = peak{need: in.standing() / firstShare, at: now}
+		p.peaks[in.Service.Name] = held
+	}
 	if need >= held.need || now.Sub(held.at) > shrinkAfter {
 		held = peak{need: need, at: now}
 		p.peaks[in.Service.Name] = held
 	}
-	survivors := max(domains-1, 1)
-	each := (held.need + survivors - 1) / survivors
-	return min(max(each, leastPerDomain, in.Service.Sizing.Min), in.Service.Sizing.Max)
+	return held.need
+}
+
+// standing returns the number of live servers.
+func (in *Input) standing() (count int) {
+	for _, live := range in.Live {
+		count += live.Reclaimable + live.OnDemand
+	}
+	return count
+}
+
+// domains returns the failure domains, the cheapest first.
+func (in *Input) domains() []string {
+	domains := slices.Collect(maps.Keys(in.Live))
+	prices := in.Service.Sizing.DomainPrices
+	slices.SortFunc(domains, func(a, b string) int {
+		return cmp.Or(cmp.Compare(prices[a], prices[b]), cmp.Compare(a, b))
+	})
+	return domains
+}
+
+// available returns the number of failure domains that have reclaimable servers or where
+// the last order for them was not refused.
+func (p *Planner) available(in Input) int {
+	count := 0
+	for domain, live := range in.Live {
+		if live.Reclaimable > 0 || p.orders[kind{in.Service.Name, domain, true}].refused.IsZero() {
+			count++
+		}
+	}
+	return count
+}
+
+// reclaimable wants as many servers in each failure domain that what is left carries the
+// load when one domain loses all of them.
+func (p *Planner) reclaimable(in Input, need int) []Order {
+	survivors := max(p.available(in)-1, 1)
+	each := (need + survivors - 1) / survivors
+	each = min(max(each, in.Service.Sizing.Min, 1), in.Service.Sizing.Max)
+	var orders []Order
+	for _, domain := range in.domains() {
+		orders = append(orders, Order{Service: in.Service.Name, FailureDomain: domain, Reclaimable: true, Count: each})
+	}
+	return orders
 }
 
-// wanted returns the standing orders of one failure domain: reclaimable servers, and as
-// many on-demand ones as are lacking while reclaimable ones are refused or boot.
-func (p *Planner) wanted(now time.Time, in Input, domain string, each int) []Order {
-	order := func(reclaimable bool, count int) Order {
-		return Order{Service: in.Service.Name, FailureDomain: domain, Reclaimable: reclaimable, Count: count}
+// onDemand wants on-demand servers for what reclaimable ones do not carry: all without
+// any, half of the load from insuredDomains on, and otherwise those that stand already
+// until reclaimable ones have taken over.
+func (p *Planner) onDemand(in Input, need int) []Order {
+	reclaimable, standing := 0, 0
+	for _, live := range in.Live {
+		reclaimable += live.Reclaimable
+		standing += live.OnDemand
 	}
-	if in.Service.Sizing.ReclaimablePrice <= 0 {
-		return []Order{order(false, each)}
+	lacking := max(need-reclaimable, 0)
+	wanted := min(standing, lacking)
+	switch available := p.available(in); {
+	case in.Service.Sizing.ReclaimablePrice <= 0, available == 0:
+		wanted = need
+	case available <= insuredDomains:
+		wanted = max(wanted, (need+1)/2)
+	}
+	return p.spread(in, wanted)
+}
+
+// spread divides on-demand servers among the failure domains: first those that have some,
+// then the cheapest, one after the other.
+func (p *Planner) spread(in Input, wanted int) []Order {
+	domains := in.domains()
+	counts := make(map[string]int, len(domains))
+	place := func(fits func(domain string) bool) {
+		for placed := true; placed && wanted > 0; {
+			placed = false
+			for _, domain := range domains {
+				if wanted > 0 && counts[domain] < in.Service.Sizing.Max && fits(domain) {
+					counts[domain]++
+					wanted--
+					placed = true
+				}
+			}
+		}
 	}
-	live := in.Live[domain]
-	lacking := max(each-live.Reclaimable, 0)
-	onDemand := min(live.OnDemand, lacking)
-	if live.Reclaimable+live.OnDemand == 0 && p.isRefused(now, kind{in.Service.Name, domain, true}) {
-		onDemand = min(each, max(in.Service.Sizing.Min, 0))
+	place(func(domain string) bool { return counts[domain] < in.Live[domain].OnDemand })
+	place(func(string) bool { return true })
+	var orders []Order
+	for _, domain := range domains {
+		orders = append(orders, Order{Service: in.Service.Name, FailureDomain: domain, Count: counts[domain]})
 	}
-	return []Order{order(true, each), order(false, min(onDemand, in.Service.Sizing.Max-each))}
+	return orders
 }
 
 func (p *Planner) isRefused(now time.Time, k kind) bool {
@@ -166,13 +247,27 @@
 	return !refused.IsZero() && now.Sub(refused) < refusedFor
 }
 
-func (p *Planner) due(now time.Time, order Order) bool {
+// due tells whether an order is new, or has to be repeated: it was refused a while ago,
+// servers went, or those that were ordered never came.
+func (p *Planner) due(now time.Time, in Input, order Order) bool {
 	k := kind{order.Service, order.FailureDomain, order.Reclaimable}
+	live := in.Live[order.FailureDomain].OnDemand
+	if order.Reclaimable {
+		live = in.Live[order.FailureDomain].Reclaimable
+	}
 	last, ordered := p.orders[k]
-	if p.isRefused(now, k) {
-		return false
+	if !ordered || last.count != order.Count {
+		return !p.isRefused(now, k)
+	}
+	if !last.refused.IsZero() {
+		return !p.isRefused(now, k)
 	}
-	return !ordered || last.count != order.Count || !last.refused.IsZero() || now.Sub(last.at) > repeatAfter
+	age := now.Sub(last.at)
+	went := live < last.seen && live < order.Count && age > settleTime
+	late := live < order.Count && age > in.Service.Sizing.Boot+startSlack
+	last.seen = max(last.seen, live)
+	p.orders[k] = last
+	return went || late
 }
 
 // Ordered notes that an order was sent, and whether it was accepted.
--- a/serving/request/admission/lend.go
+++ b/serving/request/admission/lend.go
@@ -20,9 +20,8 @@
 	Tokens  float64
 }
 
-// Debts returns the debts that other entry instances may pay, because the account as a
-// whole asks for less than its limit. A few large requests leave one entry instance in
-// debt while the parts of the others lie unused.
+// Debts returns the debts that other entry instances may pay. A few large requests leave
+// one entry instance in debt while the parts of the others lie unused.
 func (t *Table) Debts(now time.Time) []Debt {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -33,8 +32,7 @@
 				continue
 			}
 			t.updateRates(now, q, a)
-			asked := a.tokens.demand.rate(now) + t.peersUse(now, q, name).TokensPerSecond
-			if a.tokens.bucket.level <= -leastDebt && asked < a.limits.TokensPerSecond {
+			if a.tokens.bucket.level <= -leastDebt {
 				debts = append(debts, Debt{Service: q.name, Account: name, Tokens: -a.tokens.bucket.level})
 			}
 		}
