--- a/entry/site/backends.go
+++ b/entry/site/backends.go
@@ -13,11 +13,11 @@
 )
 
 const (
-	// listShare is the share of the time allowed for a leaving server's new work to end
-	// that passes between two listings; a late or lost one leaves time for another.
-	listShare = 0.42
-	// listTimeout bounds one listing.
-	listTimeout = 900 * time.Millisecond
+	// viewShare is the share of the time allowed for a leaving server's new work to end
+	// that passes between two views; a late or lost one leaves time for another.
+	viewShare = 0.42
+	// viewTimeout bounds one view.
+	viewTimeout = 900 * time.Millisecond
 	// usualLeaving is the time that a leaving server has when it names none.
 	usualLeaving = 5 * time.Second
 	// evenPrice is the price of every server in the choice of one, in dollars an hour:
@@ -30,24 +30,28 @@
 	decodeMS         = 12
 )
 
-// runDirectory lists the backend servers.
-func (s *Site) runDirectory(ctx context.Context) error {
+// runView follows the configuration, the backend servers and the other entry instances.
+func (s *Site) runView(ctx context.Context) error {
 	table := directory.New(directory.DefaultReturn)
-	period := time.Duration(listShare * float64(milliseconds(s.set.LeavingMS)))
+	period := time.Duration(viewShare * float64(milliseconds(s.set.LeavingMS)))
 	return every(ctx, period, func(ctx context.Context) {
-		limited, cancel := context.WithTimeout(ctx, listTimeout)
+		limited, cancel := context.WithTimeout(ctx, viewTimeout)
 		defer cancel()
-		listed, err := s.platform.Directory.Servers(limited)
+		view, err := s.platform.Viewer.View(limited)
 		if ctx.Err() != nil {
 			return
 		}
-		s.contacts.note(s.part("directory"), "directory", err)
+		s.contacts.note(s.part("site"), "store", err)
 		now := time.Now()
 		if err != nil {
 			table.Failed(now)
 			return
 		}
-		s.setServers(now, table.Listed(now, listed))
+		if len(view.Configuration) > 0 {
+			s.adopt(view.Configuration, "store")
+		}
+		s.setServers(now, table.Listed(now, view.Servers))
+		s.setEntries(view.Own)
 	})
 }
 
--- a/entry/site/configuration.go
+++ b/entry/site/configuration.go
@@ -1,54 +1,27 @@
 package site
 
 import (
+	"bytes"
 	"context"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"papayaport.dev/entry/relay"
-	"papayaport.dev/serving/process/clock"
 	"papayaport.dev/serving/version/deployment"
 	"papayaport.dev/serving/version/service"
 )
 
-const (
-	// configurationRetry is the wait after a failed read of the configuration, a fifth of
-	// the time in which a version must be in force everywhere.
-	configurationRetry = 400 * time.Millisecond
-	// peerFetchTimeout bounds the fetch of a configuration from a peer.
-	peerFetchTimeout = time.Second
-)
-
-// runConfiguration follows the operator's configurations.
-func (s *Site) runConfiguration(ctx context.Context) error {
-	revision := uint64(0)
-	for ctx.Err() == nil {
-		raw, next, err := s.platform.Configurations.Next(ctx, revision)
-		if ctx.Err() != nil {
-			break
-		}
-		s.contacts.note(s.part("configuration"), "configuration", err)
-		if err != nil {
-			// A revision that can't be followed any more is read anew from the start.
-			revision = 0
-			if err := clock.Sleep(ctx, configurationRetry); err != nil {
-				return err
-			}
-			continue
-		}
-		revision = next
-		if len(raw) > 0 {
-			s.adopt(raw, "store")
-		}
-	}
-	return ctx.Err()
-}
+// peerFetchTimeout bounds the fetch of a configuration from a peer.
+const peerFetchTimeout = time.Second
 
 // adopt puts a configuration into force unless a version at least as high is.
 func (s *Site) adopt(raw []byte, source string) {
+	if bytes.Equal(raw, s.keeper.Raw()) {
+		return
+	}
 	log := s.part("configuration").WithField("source", source)
-	decoded, err := s.platform.Configurations.Decode(raw)
+	decoded, err := s.platform.Viewer.Decode(raw)
 	if err != nil {
 		log.WithError(err).Error("configuration: unreadable, the one in force stays")
 		return
--- a/entry/site/duties.go
+++ b/entry/site/duties.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -26,10 +27,6 @@
 	reportsKey = "papayaport/usage"
 	// recordPeriod is the time between two looks at ended windows.
 	recordPeriod = 250 * time.Millisecond
-	// listEntriesPeriod is the time between two looks at the other instances' records, and
-	// firstEntriesPeriod that before others were found.
-	listEntriesPeriod  = 30 * time.Second
-	firstEntriesPeriod = 2 * time.Second
 	// keptWindows is the number of windows that stay in a record and among the fixed sums.
 	keptWindows = 6
 	// dutyPeriod is the time between two looks at what the duties ask for.
@@ -61,7 +58,6 @@
 	loaded bool
 	dirty  bool
 	usage  map[int64]usage.Counts
-	listed time.Time
 }
 
 // runRecord keeps this instance's record in the store, and finds the others.
@@ -77,16 +73,6 @@
 		if s.record.loaded && s.record.dirty {
 			s.writeRecord(ctx)
 		}
-		period := listEntriesPeriod
-		if s.entries() == 1 {
-			period = firstEntriesPeriod
-		}
-		if now.Sub(s.record.listed) >= period {
-			s.record.listed = now
-			if _, err := s.listEntries(ctx); err != nil {
-				s.part("record").WithError(err).Warn("record: other entry instances not listed")
-			}
-		}
 	})
 }
 
@@ -141,17 +127,14 @@
 	s.record.dirty = false
 }
 
-// listEntries reads the records of all entry instances and tells the membership of them.
-func (s *Site) listEntries(ctx context.Context) ([]record, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	entries, err := s.platform.Store.List(ctx, entriesPrefix)
-	if err != nil {
-		return nil, err
-	}
+// setEntries takes in the records of all entry instances and tells the membership of them.
+func (s *Site) setEntries(own []platform.Entry) []record {
 	var records []record
 	var instances []platform.Instance
-	for _, entry := range entries.Entries {
+	for _, entry := range own {
+		if !strings.HasPrefix(entry.Key, entriesPrefix) {
+			continue
+		}
 		var r record
 		if err := json.Unmarshal(entry.Value, &r); err != nil {
 			s.part("record").WithError(err).WithField("key", entry.Key).Warn("record: unreadable, left out")
@@ -167,7 +150,7 @@
 	s.mu.Lock()
 	s.listed = max(len(records), 1)
 	s.mu.Unlock()
-	return records, nil
+	return records
 }
 
 // duty is the state of the holder of the duties.
@@ -249,16 +232,16 @@
 // fixWindow decides the counts of a window by a conditional write, or returns what was
 // decided before.
 func (s *Site) fixWindow(ctx context.Context, number int64) (usage.Window, error) {
-	records, err := s.listEntries(ctx)
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	entries, err := s.platform.Store.List(ctx, entriesPrefix)
 	if err != nil {
 		return usage.Window{}, err
 	}
 	var all []usage.Counts
-	for _, r := range records {
+	for _, r := range s.setEntries(entries.Entries) {
 		all = append(all, r.Usage[number])
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
 	fixed := map[int64]usage.Counts{}
 	entry, err := s.platform.Store.Get(ctx, reportsKey)
 	switch {
--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -49,17 +49,23 @@
 	Put(ctx context.Context, key string, value []byte, ifRevision uint64) (platform.Entry, error)
 }
 
-// Configurations is where operators put configurations.
-type Configurations interface {
-	// Next waits for a configuration written behind a revision, 0 for any. It returns an
-	// empty one when none came in time.
-	Next(ctx context.Context, after uint64) (raw []byte, revision uint64, err error)
-	Decode(raw []byte) (deployment.Deployment, error)
+// View is what the platform's store holds at a moment.
+type View struct {
+	// Configuration is the operators' newest configuration as it was written, empty before
+	// the first one.
+	Configuration []byte
+	Servers       []directory.Server
+	// Own holds what entry instances keep there themselves.
+	Own []platform.Entry
 }
 
-// Directory lists the backend servers.
-type Directory interface {
-	Servers(ctx context.Context) ([]directory.Server, error)
+// Viewer reads the whole of the platform's store. One read a look serves everything that
+// an entry instance follows, and unlike a watch it misses nothing when the store forgets
+// its history.
+type Viewer interface {
+	View(ctx context.Context) (View, error)
+	// Decode reads a configuration.
+	Decode(raw []byte) (deployment.Deployment, error)
 }
 
 // Duty names the holder of a duty towards the platform.
@@ -81,11 +87,10 @@
 
 // Platform is the outside of a site.
 type Platform struct {
-	Store          Store
-	Configurations Configurations
-	Directory      Directory
-	Duties         Duties
-	Codec          relay.Codec
+	Store  Store
+	Viewer Viewer
+	Duties Duties
+	Codec  relay.Codec
 	// EchoHeader is the header in which backend servers repeat a request's id.
 	EchoHeader string
 }
@@ -176,7 +181,7 @@
 		return err
 	}
 	for _, loop := range []func(context.Context) error{
-		s.runConfiguration, s.runDirectory, s.runExchange, s.runRecord, s.leases.Run, s.runDuties, s.runTicks, s.runBorrow,
+		s.runView, s.runExchange, s.runRecord, s.leases.Run, s.runDuties, s.runTicks, s.runBorrow,
 	} {
 		group.Go(func() error {
 			err := loop(running)
