Refuse streams that a leaving instance can't finish; size the start of a fleet

From 2.6 s on streams are refused as not run, and plain requests answered before the end. Before the load is known a third of the largest fleet stands, and every server is a home when prices don't count. Usage counts a stream from its first event on: callers that left before were counted as running.

--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -151,7 +151,7 @@
 // Relay is the callers' side of an entry instance.
 type Relay struct {
 	Parts
-	draining atomic.Bool
+	leaving  atomic.Pointer[leaving]
 	inFlight atomic.Int64
 	serial   atomic.Uint64
 }
@@ -175,12 +175,17 @@
 // New returns a relay.
 func New(parts Parts) *Relay { return &Relay{Parts: parts} }
 
+// leaving is a planned stop: from settled on no streams are taken, and at the end all
+// requests are answered.
+type leaving struct{ settled, end time.Time }
+
 // Drain closes callers' connections behind their present answer. Requests that still
-// arrive are served.
-func (r *Relay) Drain() { r.draining.Store(true) }
+// arrive are served, but from settled on streams are refused, since they may last longer
+// than the instance, and all others are answered before the end.
+func (r *Relay) Drain(settled, end time.Time) { r.leaving.Store(&leaving{settled, end}) }
 
 // Draining tells whether Drain was called.
-func (r *Relay) Draining() bool { return r.draining.Load() }
+func (r *Relay) Draining() bool { return r.leaving.Load() != nil }
 
 // InFlight returns the number of callers' requests without a whole answer.
 func (r *Relay) InFlight() int { return int(r.inFlight.Load()) }
@@ -189,7 +194,7 @@
 func (r *Relay) ServeHTTP(w http.ResponseWriter, request *http.Request) {
 	r.inFlight.Add(1)
 	defer r.inFlight.Add(-1)
-	if r.draining.Load() {
+	if r.Draining() {
 		w.Header().Set("Connection", "close")
 	}
 	run := &run{relay: r, received: time.Now()}
--- a/entry/relay/run.go
+++ b/entry/relay/run.go
@@ -26,6 +26,9 @@
 	// shortestSilence is the least time before that, so that a garbage collection or a
 	// lost packet does not double the load.
 	shortestSilence = 500 * time.Millisecond
+	// leavingRetry is when a caller that a leaving instance refused may come back: at once,
+	// to another instance, with time for a connection.
+	leavingRetry = 50 * time.Millisecond
 	// targetQuantile is the share of requests that should keep the latency target.
 	targetQuantile = 0.95
 )
@@ -79,6 +82,14 @@
 		wait = min(wait, r.route.Timeout)
 	}
 	r.deadline = r.received.Add(wait)
+	if stop := r.relay.leaving.Load(); stop != nil {
+		if r.route.Kind == deployment.Streaming && !r.received.Before(stop.settled) {
+			return problem.New(problem.Leaving, "this instance leaves in %d ms", time.Until(stop.end).Milliseconds()).After(leavingRetry)
+		}
+		if stop.end.Before(r.deadline) {
+			r.deadline = stop.end
+		}
+	}
 	r.service = r.route.Pick(r.relay.Draw())
 	if _, found = version.Service(r.service); !found {
 		return problem.New(problem.NoBackend, "route %s leads to no service", r.route.Name)
@@ -225,7 +236,9 @@
 	}
 	r.attempts++
 	r.mayHaveRun = true
-	r.began()
+	if r.route.Kind != deployment.Streaming {
+		r.began()
+	}
 }
 
 // noteAnswer counts an attempt whose answer began.
@@ -236,13 +249,17 @@
 	}
 	r.attempts++
 	r.relay.Meters.attempted(r.service)
-	if !a.answer.NotRun {
-		r.mayHaveRun = true
+	if a.answer.NotRun {
+		return
+	}
+	r.mayHaveRun = true
+	if r.route.Kind != deployment.Streaming || a.response.Status != http.StatusOK {
 		r.began()
 	}
 }
 
-// began counts the request as running, once.
+// began counts the request as running, once. A stream runs from its first event on: one
+// whose caller left before may have waited all the time.
 func (r *run) began() {
 	if !r.begun && r.account != nil {
 		r.begun = true
--- a/entry/relay/stream.go
+++ b/entry/relay/stream.go
@@ -124,6 +124,7 @@
 		}
 		now := time.Now()
 		if first {
+			r.began()
 			r.relay.Routes.FirstToken(now, a.id, 0)
 		} else {
 			r.relay.Routes.Token(now, a.id)
--- a/entry/site/serve.go
+++ b/entry/site/serve.go
@@ -33,6 +33,8 @@
 	settleTime = 2600 * time.Millisecond
 	// graceMargin is the part of the grace that is left for the end of the process.
 	graceMargin = 700 * time.Millisecond
+	// answerMargin is the time before the cut at which the last answers are given.
+	answerMargin = 200 * time.Millisecond
 )
 
 // listeners are the servers of the process.
@@ -141,17 +143,17 @@
 	for !machine.Ended() {
 		for _, order := range machine.Step(time.Now(), drain.Load{Callers: s.relay.InFlight()}) {
 			log.WithFields(logrus.Fields{"order": order.String(), "in_flight": s.relay.InFlight()}).Info("site: step of the stop")
-			s.carryOut(order, l, log)
+			s.carryOut(order, l, log, deadline)
 		}
 		time.Sleep(stopPeriod)
 	}
 	log.Info("site: stopped")
 }
 
-func (s *Site) carryOut(order drain.Order, l *listeners, log *logrus.Entry) {
+func (s *Site) carryOut(order drain.Order, l *listeners, log *logrus.Entry, deadline time.Time) {
 	switch order {
 	case drain.Unready:
-		s.relay.Drain()
+		s.relay.Drain(time.Now().Add(settleTime), deadline.Add(-answerMargin))
 		s.tellPeers(time.Now())
 		s.send(s.members.Tick(time.Now()))
 	case drain.CloseIdle:
--- a/serving/process/sizing/sizing.go
+++ b/serving/process/sizing/sizing.go
@@ -33,9 +33,9 @@
 	// tokens is still well within the targets of interactive use.
 	slotShare = 0.3
 	// prefillPerServer is the number of uncached prompt tokens that an engine should read
-	// in a second, a quarter of what the engines of today's deployments can, so that a
-	// long prompt seldom waits for another.
-	prefillPerServer = 15_000
+	// in a second, a fifth of what the engines of today's deployments can, so that a long
+	// prompt seldom waits for another.
+	prefillPerServer = 12_000
 	// shrinkAfter is how long the load must stay below before servers are given up.
 	shrinkAfter = 15 * time.Second
 	// refusedFor is how long a refused kind of server is not asked for again.
@@ -45,9 +45,10 @@
 	// startSlack is added to the boot time before servers that were ordered and are not
 	// listed are ordered again.
 	startSlack = 4 * time.Second
-	// firstShare divides the servers that stand when a planner starts into those that the
-	// load is taken to need: fleets are left with a reserve.
-	firstShare = 2
+	// firstShare divides the largest number of servers of a failure domain into the number
+	// that stands while the load is not known yet: reclaimable servers are cheap, and a
+	// start with too few takes a boot time and more to make up.
+	firstShare = 3
 	// insuredDomains is the number of failure domains with reclaimable servers from which
 	// on on-demand ones are started: the next reclaim may come before any could boot.
 	insuredDomains = 2
@@ -85,7 +86,7 @@
 	count   int
 	at      time.Time
 	refused time.Time
-	// seen is the largest number of live servers since the order.
+	// seen is the largest number of live servers of late.
 	seen int
 }
 
@@ -142,8 +143,7 @@
 	need := Need(in)
 	held, known := p.peaks[in.Service.Name]
 	if !known {
-		// The load before is not known; the servers that stand are the only trace of it.
-		held = peak{need: in.standing() / firstShare, at: now}
+		held = peak{need: (len(in.Live) - 1) * in.Service.Sizing.Max / firstShare, at: now}
 		p.peaks[in.Service.Name] = held
 	}
 	if need >= held.need || now.Sub(held.at) > shrinkAfter {
@@ -153,14 +153,6 @@
 	return held.need
 }
 
-// standing returns the number of live servers.
-func (in *Input) standing() (count int) {
-	for _, live := range in.Live {
-		count += live.Reclaimable + live.OnDemand
-	}
-	return count
-}
-
 // domains returns the failure domains, the cheapest first.
 func (in *Input) domains() []string {
 	domains := slices.Collect(maps.Keys(in.Live))
@@ -255,26 +247,29 @@
 	if order.Reclaimable {
 		live = in.Live[order.FailureDomain].Reclaimable
 	}
-	last, ordered := p.orders[k]
-	if !ordered || last.count != order.Count {
-		return !p.isRefused(now, k)
+	last := p.orders[k]
+	ordered := !last.at.IsZero()
+	went := live < last.seen && live < order.Count && now.Sub(last.at) > settleTime
+	if went || live > last.seen {
+		last.seen = live
+		p.orders[k] = last
+	}
+	if p.isRefused(now, k) {
+		return false
 	}
-	if !last.refused.IsZero() {
-		return !p.isRefused(now, k)
+	if !ordered || last.count != order.Count || !last.refused.IsZero() {
+		return true
 	}
-	age := now.Sub(last.at)
-	went := live < last.seen && live < order.Count && age > settleTime
-	late := live < order.Count && age > in.Service.Sizing.Boot+startSlack
-	last.seen = max(last.seen, live)
-	p.orders[k] = last
+	late := live < order.Count && now.Sub(last.at) > in.Service.Sizing.Boot+startSlack
 	return went || late
 }
 
 // Ordered notes that an order was sent, and whether it was accepted.
 func (p *Planner) Ordered(now time.Time, order Order, accepted bool) {
-	s := standing{count: order.Count, at: now}
+	k := kind{order.Service, order.FailureDomain, order.Reclaimable}
+	s := standing{count: order.Count, at: now, seen: p.orders[k].seen}
 	if !accepted {
 		s.refused = now
 	}
-	p.orders[kind{order.Service, order.FailureDomain, order.Reclaimable}] = s
+	p.orders[k] = s
 }
--- a/serving/request/route/papayaport.go
+++ b/serving/request/route/papayaport.go
@@ -37,7 +37,11 @@
 func (p papayaport) Pick(candidates []Candidate, request *Request, random *rand.Rand) int {
 	home := -1
 	if p.home && len(request.Blocks) > 0 {
-		home = boundedHome(candidates[:needed(candidates)])
+		homes := len(candidates)
+		if p.price {
+			homes = needed(candidates)
+		}
+		home = boundedHome(candidates[:homes])
 	}
 	best, least := cachedRange(candidates)
 	cheapest, lowestCost := -1, 0.0
