Prove the site at a stand-in of the users' platform

standin/outside: store with leases and lost answers, cloud API that checks holders and fencing numbers, backend servers that refuse, reset, truncate, double and mix answers. platform/proof runs entry instances against it over loopback: answers per misbehaviour, heads and bodies, streams, configuration, leaving servers, an outage with lapsed entries, usage over changing holders, a planned stop, limits, and at most once under all of it.

--- /dev/null
+++ b/standin/outside/server.go
@@ -0,0 +1,297 @@
+package outside
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Misbehaviour is what a server does wrong with its next requests.
+type Misbehaviour int
+
+// Misbehaviours.
+const (
+	// Nothing answers as the pages say.
+	Nothing Misbehaviour = iota
+	// Refuse says that it did not run the request.
+	Refuse
+	// RunAndReset runs the request and resets the connection without an answer.
+	RunAndReset
+	// Truncate breaks the answer off in its middle.
+	Truncate
+	// Twice sends the whole answer two times.
+	Twice
+	// Foreign sends an answer to another request first.
+	Foreign
+	// Nonsense sends bytes that are no answer.
+	Nonsense
+	// Encoded says that the body is encoded.
+	Encoded
+	// Fail answers 500 after it ran the request.
+	Fail
+	// Hang runs the request and never answers.
+	Hang
+)
+
+// Server describes a backend server.
+type Server struct {
+	ID      string
+	Service string
+	Zone    string
+	Slots   int
+	// Work is the time that a request takes, and for streams the time between events.
+	Work time.Duration
+	// Events is the number of events of a stream; 0 makes a plain service.
+	Events int
+}
+
+// Run is one request that the server began to run.
+type Run struct {
+	ID     string
+	Method string
+	Target string
+	Header http.Header
+	Body   string
+}
+
+// Backend is a running backend server.
+type Backend struct {
+	Server
+	Address string
+	store   *Store
+	born    int64
+	cancel  context.CancelFunc
+
+	mu       sync.Mutex
+	wrong    Misbehaviour
+	times    int
+	active   int
+	runs     []Run
+	draining bool
+}
+
+// Start starts a backend server and registers it.
+func Start(ctx context.Context, store *Store, s Server) (*Backend, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	b := &Backend{Server: s, store: store, born: time.Now().UnixMilli(), cancel: cancel}
+	var err error
+	if b.Address, err = Serve(ctx, b); err != nil {
+		cancel()
+		return nil, err
+	}
+	b.Register()
+	return b, nil
+}
+
+// Register writes the server's entry.
+func (b *Backend) Register() {
+	b.mu.Lock()
+	state := "ready"
+	if b.draining {
+		state = "draining"
+	}
+	b.mu.Unlock()
+	entry, err := json.Marshal(map[string]any{
+		"service": b.Service, "address": b.Address, "zone": b.Zone, "version": "v1", "slots": b.Slots,
+		"state": state, "cold_remaining_ms": 0, "sequence": 1, "born": b.born,
+	})
+	if err != nil {
+		panic(errors.Wrap(err, "encode entry")) // a map of plain values always encodes
+	}
+	b.store.Put("servers/"+b.ID, entry)
+}
+
+// Drain announces that the server leaves. It goes on serving.
+func (b *Backend) Drain() {
+	b.mu.Lock()
+	b.draining = true
+	b.mu.Unlock()
+	b.Register()
+}
+
+// Stop ends the server at once and cuts its connections.
+func (b *Backend) Stop() { b.cancel() }
+
+// Misbehave makes the next requests go wrong.
+func (b *Backend) Misbehave(wrong Misbehaviour, times int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.wrong, b.times = wrong, times
+}
+
+// Runs returns the requests that the server began to run.
+func (b *Backend) Runs() []Run {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return append([]Run(nil), b.runs...)
+}
+
+// Seal returns the signature of an answer to a request.
+func (b *Backend) Seal(id string) string { return "seal." + b.ID + "." + id }
+
+func (b *Backend) next() Misbehaviour {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.times == 0 {
+		return Nothing
+	}
+	b.times--
+	return b.wrong
+}
+
+func (b *Backend) begin(run Run) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.active >= b.Slots {
+		return false
+	}
+	b.active++
+	b.runs = append(b.runs, run)
+	return true
+}
+
+func (b *Backend) end() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.active--
+}
+
+// ServeHTTP runs one request.
+func (b *Backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("X-Papayaport-Attempt-Id")
+	header := w.Header()
+	header.Set("X-Papayaport-Attempt-Id", id)
+	header.Set("Keep-Alive", "timeout=5")
+	wrong := b.next()
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	if expected := r.Header.Get("X-Papayaport-Expected-Instance"); expected != "" && expected != b.ID {
+		header.Set("X-Papayaport-Instance-Id", b.ID)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	run := Run{ID: id, Method: r.Method, Target: r.RequestURI, Header: r.Header.Clone(), Body: string(body)}
+	if wrong == Refuse || !b.begin(run) {
+		header.Set("X-Papayaport-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer b.end()
+	header.Set("X-Papayaport-Instance-Load", fmt.Sprintf("1,0,%d", b.Slots))
+	header.Set("X-Papayaport-Server-Seal", b.Seal(id))
+	if b.Events > 0 && wrong != Fail {
+		b.stream(w, r, wrong)
+		return
+	}
+	b.plain(w, r, id, wrong)
+}
+
+// Body is the whole answer of a plain service to a request.
+func (b *Backend) Body(id string) string { return "answer of " + b.ID + " to " + id }
+
+func (b *Backend) plain(w http.ResponseWriter, r *http.Request, id string, wrong Misbehaviour) {
+	select {
+	case <-time.After(b.Work):
+	case <-r.Context().Done():
+		return
+	}
+	answer := b.Body(id)
+	switch wrong {
+	case RunAndReset:
+		b.raw(w, "")
+	case Hang:
+		<-r.Context().Done()
+	case Nonsense:
+		b.raw(w, "this is no answer\r\n\r\n")
+	case Truncate:
+		b.raw(w, b.head(id, len(answer))+answer[:len(answer)/2])
+	case Twice:
+		b.raw(w, b.head(id, len(answer))+answer+b.head(id, len(answer))+answer)
+	case Foreign:
+		b.raw(w, b.head("another", 5)+"wrong"+b.head(id, len(answer))+answer)
+	case Encoded:
+		w.Header().Set("Content-Encoding", "gzip")
+		_, _ = io.WriteString(w, answer)
+	case Fail:
+		w.WriteHeader(http.StatusInternalServerError)
+		_, _ = io.WriteString(w, "failed")
+	default:
+		w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
+		_, _ = io.WriteString(w, answer) // the caller may be gone
+	}
+}
+
+func (b *Backend) head(id string, length int) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Papayaport-Attempt-Id: %s\r\nX-Papayaport-Server-Seal: %s\r\nKeep-Alive: timeout=5\r\nContent-Length: %d\r\n\r\n",
+		id, b.Seal(id), length)
+}
+
+// raw writes bytes past net/http and closes the connection a little later.
+func (b *Backend) raw(w http.ResponseWriter, data string) {
+	conn, buffer, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer conn.Close()
+	write(buffer.Writer, data)
+	if data == "" {
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0) // close with a reset
+		}
+		return
+	}
+	time.Sleep(50 * time.Millisecond)
+}
+
+func write(out *bufio.Writer, data string) {
+	_, _ = out.WriteString(data) // Flush returns the error, and the test sees the answer
+	_ = out.Flush()
+}
+
+// Event is one event of a stream.
+func Event(number int) string { return fmt.Sprintf("id: %d\ndata: piece %d\n\n", number, number) }
+
+func (b *Backend) stream(w http.ResponseWriter, r *http.Request, wrong Misbehaviour) {
+	first := 1
+	if last, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
+		first = last + 1
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	control := http.NewResponseController(w)
+	for number := first; number <= b.Events; number++ {
+		select {
+		case <-time.After(b.Work):
+		case <-r.Context().Done():
+			return
+		}
+		event := Event(number)
+		if number == first+(b.Events-first)/2 {
+			switch wrong {
+			case Truncate:
+				_, _ = io.WriteString(w, event[:len(event)/2])
+				_ = control.Flush()
+				panic(http.ErrAbortHandler)
+			case Hang:
+				<-r.Context().Done()
+				return
+			case RunAndReset:
+				panic(http.ErrAbortHandler)
+			}
+		}
+		if _, err := io.WriteString(w, event); err != nil {
+			return
+		}
+		_ = control.Flush()
+	}
+}
