--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Targets:
-#   build    the three programs in bin/
+#   build    the three programs in bin/, and the entry instance of the users' platform in target/
 #   test     all tests, with the race detector
 #   demo     the whole system on stand-ins, serving requests of every kind
 #   measure  the comparisons of routing policies
@@ -7,19 +7,22 @@
 #   bench    the benchmarks
 #   lint     formatter and linters
 GO ?= go
-MODULES := serving entry ctl standin
+MODULES := serving entry ctl platform standin
 PACKAGES := $(MODULES:%=./%/...)
 # STATEFUL are the packages with stateful fuzz tests; only they know the flags of rapid.
 STATEFUL := $(sort $(dir $(shell grep -rl --include='*_test.go' 'pgregory.net/rapid"' $(MODULES))))
 # PROOF starts whole systems of real processes and runs alone, so that nothing competes
 # with it; -count=1, because the test cache does not see the programs that it builds.
-PROOF := ./standin/proof/...
-OTHERS = $(filter-out papayaport.dev/standin/proof $(STATEFUL:%/=papayaport.dev/%),$(shell $(GO) list $(PACKAGES)))
+PROOF := ./standin/proof/... ./platform/proof/...
+OTHERS = $(filter-out papayaport.dev/standin/proof papayaport.dev/platform/proof $(STATEFUL:%/=papayaport.dev/%),$(shell $(GO) list $(PACKAGES)))
 # SEED is the seed of the stateful fuzz tests, so that every run takes the same steps.
 SEED ?= 20261203
 # FUZZ_CHECKS is the number of runs of each stateful fuzz test under "make fuzz".
 FUZZ_CHECKS ?= 5000
 
+# SITE_BUILD is the build line of deploy/system.toml, which links the C library.
+SITE_BUILD = $(shell sed -n 's/^build = "\(.*\)"$$/\1/p' deploy/system.toml)
+
 .PHONY: all build test demo measure fuzz bench lint tools
 
 all: build
@@ -28,11 +31,12 @@
 	$(GO) build -o bin/papayaport ./entry
 	$(GO) build -o bin/papayactl ./ctl
 	$(GO) build -o bin/standin ./standin
+	$(SITE_BUILD)
 
 test: build
 	$(GO) test -race -timeout 600s $(STATEFUL:%=./%) -rapid.seed=$(SEED) -rapid.nofailfile
 	$(GO) test -race -timeout 600s $(OTHERS)
-	$(GO) test -race -count=1 -timeout 900s $(PROOF)
+	$(GO) test -race -count=1 -p 1 -timeout 900s $(PROOF)
 
 demo: build
 	bin/standin demo --bin bin
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -216,7 +216,7 @@
 		return
 	}
 	defer release()
-	run.serve(w, request.Context())
+	run.serve(request.Context(), w)
 }
 
 // receive decodes a request and reads its body. The body of a request that is refused
--- a/entry/relay/run.go
+++ b/entry/relay/run.go
@@ -136,7 +136,7 @@
 }
 
 // serve makes attempts until one is answered or none may follow.
-func (r *run) serve(w http.ResponseWriter, caller context.Context) {
+func (r *run) serve(caller context.Context, w http.ResponseWriter) {
 	if r.route.Kind == deployment.NonIdempotent {
 		// A sent request runs to its end whether its caller stays or not.
 		caller = context.WithoutCancel(caller)
--- a/serving/connection/event/event_test.go
+++ b/serving/connection/event/event_test.go
@@ -30,7 +30,9 @@
 	}{
 		"whole": {
 			strings.NewReader("id: 1\ndata: a\n\nid:2\r\ndata: b\r\n\r\n"),
-			[]string{"id: 1\ndata: a\n\n", "id:2\r\ndata: b\r\n\r\n"}, []string{"1", "2"}, io.EOF,
+			[]string{"id: 1\ndata: a\n\n", "id:2\r\ndata: b\r\n\r\n"},
+			[]string{"1", "2"},
+			io.EOF,
 		},
 		"complete without a last blank line": {
 			strings.NewReader("data: a\n\ndata: b"), []string{"data: a\n\n", "data: b"}, []string{"", ""}, io.EOF,
@@ -40,7 +42,9 @@
 		},
 		"a line longer than the buffer": {
 			strings.NewReader("data: " + strings.Repeat("x", 10000) + "\nid: 7\n\n"),
-			[]string{"data: " + strings.Repeat("x", 10000) + "\nid: 7\n\n"}, []string{"7"}, io.EOF,
+			[]string{"data: " + strings.Repeat("x", 10000) + "\nid: 7\n\n"},
+			[]string{"7"},
+			io.EOF,
 		},
 		"too large": {strings.NewReader("data: " + strings.Repeat("x", event.MaxBytes+5000)), nil, nil, event.ErrTooLarge},
 	} {
