Shrink a fleet a part at a time, and take its load from records

Change: a step gives up three tenths; the load comes from the entry instances' records as well, which they write with every window.

--- a/entry/site/duties.go
+++ b/entry/site/duties.go
@@ -51,6 +51,10 @@
 	PeerAddress   string                 `json:"peer_address"`
 	CallerAddress string                 `json:"caller_address"`
 	Usage         map[int64]usage.Counts `json:"usage,omitempty"`
+	// InFlight holds the requests at backend servers through this instance by service, and
+	// TokensPerSecond what client accounts ask for, both as of the last write.
+	InFlight        map[string]int `json:"in_flight,omitempty"`
+	TokensPerSecond float64        `json:"tokens_per_second,omitempty"`
 }
 
 // recordKeeper is the state of this instance's record.
@@ -115,6 +119,7 @@
 	value, err := json.Marshal(record{
 		Incarnation: s.incarnation(), Region: s.set.Region, FailureDomain: s.set.FailureDomain,
 		PeerAddress: s.set.Peers, CallerAddress: s.set.Callers, Usage: s.record.usage,
+		InFlight: s.inFlight(), TokensPerSecond: s.tokensPerSecond(time.Now()),
 	})
 	if err != nil {
 		s.part("record").WithError(err).Error("record: not encoded")
@@ -149,6 +154,7 @@
 	s.members.Instances(time.Now(), instances)
 	s.mu.Lock()
 	s.listed = max(len(records), 1)
+	s.records = records
 	s.mu.Unlock()
 	return records
 }
@@ -313,17 +319,8 @@
 	for _, domain := range s.set.FailureDomains {
 		in.Live[domain] = sizing.Count{}
 	}
-	totals := s.members.Totals(now)
-	own := map[string]int{}
-	for _, use := range s.routes.Use() {
-		own[use.Backend] = use.InFlight
-	}
 	for _, server := range s.backends() {
-		if server.Service != svc.Name {
-			continue
-		}
-		in.InFlight += own[server.ID] + totals.ByBackend[server.ID].InFlight
-		if server.Leaving {
+		if server.Service != svc.Name || server.Leaving {
 			continue
 		}
 		count := in.Live[server.FailureDomain]
@@ -334,15 +331,44 @@
 		}
 		in.Live[server.FailureDomain] = count
 	}
-	for _, use := range s.admission.Use(now) {
-		in.PrefillPerSecond += uncachedShare * use.TokensPerSecond
+	// Peers tell their demand sooner in a small fleet, the records in a large one.
+	heard, recorded := s.tokensPerSecond(now), 0.0
+	for _, use := range s.members.Totals(now).ByAccount {
+		heard += use.TokensPerSecond
 	}
-	for _, use := range totals.ByAccount {
-		in.PrefillPerSecond += uncachedShare * use.TokensPerSecond
+	s.mu.Lock()
+	for _, r := range s.records {
+		recorded += r.TokensPerSecond
+		in.InFlight += r.InFlight[svc.Name]
 	}
+	s.mu.Unlock()
+	in.PrefillPerSecond = uncachedShare * max(heard, recorded)
 	return in
 }
 
+// inFlight returns the requests at backend servers through this instance, by service.
+func (s *Site) inFlight() map[string]int {
+	own := map[string]int{}
+	for _, use := range s.routes.Use() {
+		own[use.Backend] = use.InFlight
+	}
+	inFlight := map[string]int{}
+	for _, server := range s.backends() {
+		if own[server.ID] > 0 {
+			inFlight[server.Service] += own[server.ID]
+		}
+	}
+	return inFlight
+}
+
+// tokensPerSecond returns what client accounts ask for through this instance.
+func (s *Site) tokensPerSecond(now time.Time) (total float64) {
+	for _, use := range s.admission.Use(now) {
+		total += use.TokensPerSecond
+	}
+	return total
+}
+
 // contacts notes which outside services answer, and writes a line when that changes.
 type contacts struct {
 	mu   sync.Mutex
--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -118,9 +118,10 @@
 	peers     *peer.Client
 	leases    *lease.Leases
 
-	// mu guards servers and listed. Nothing is locked under it.
+	// mu guards servers, records and listed. Nothing is locked under it.
 	mu      sync.Mutex
 	servers []directory.Server
+	records []record
 	// listed is the number of entry instances by the store, this one included.
 	listed int
 
--- a/serving/process/sizing/sizing.go
+++ b/serving/process/sizing/sizing.go
@@ -36,8 +36,11 @@
 	// in a second, a fifth of what the engines of today's deployments can, so that a long
 	// prompt seldom waits for another.
 	prefillPerServer = 12_000
-	// shrinkAfter is how long the load must stay below before servers are given up.
+	// shrinkAfter is how long the load must stay below before a part of the servers is
+	// given up, and shrinkShare what is kept of them at each step: what a large fleet tells
+	// of its load comes late, and a burst of users seldom comes alone.
 	shrinkAfter = 15 * time.Second
+	shrinkShare = 0.7
 	// refusedFor is how long a refused kind of server is not asked for again.
 	refusedFor = 3 * time.Second
 	// settleTime is how long after an order the platform may still show the count before.
@@ -144,12 +147,14 @@
 	held, known := p.peaks[in.Service.Name]
 	if !known {
 		held = peak{need: (len(in.Live) - 1) * in.Service.Sizing.Max / firstShare, at: now}
-		p.peaks[in.Service.Name] = held
 	}
-	if need >= held.need || now.Sub(held.at) > shrinkAfter {
+	switch {
+	case need >= held.need:
 		held = peak{need: need, at: now}
-		p.peaks[in.Service.Name] = held
+	case now.Sub(held.at) > shrinkAfter:
+		held = peak{need: max(need, int(shrinkShare*float64(held.need))), at: now}
 	}
+	p.peaks[in.Service.Name] = held
 	return held.need
 }
 
