Refuse late requests of a leaving instance; drop gone servers sooner after a cut

Now all requests are refused from a second before the last answer. The time counts from the begin of the last failed view, and views are tried again after 300 ms. Ruled out: a lost notice of the peers, the entry was removed without draining.

--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -188,7 +188,7 @@
 
 // Drain closes callers' connections behind their present answer. Requests that still
 // arrive are served, but from settled on streams are refused, since they may last longer
-// than the instance, and all others are answered before the end.
+// than the instance; all others are answered before the end, or refused shortly before.
 func (r *Relay) Drain(settled, end time.Time) { r.leaving.Store(&leaving{settled, end}) }
 
 // Draining tells whether Drain was called.
--- a/entry/relay/run.go
+++ b/entry/relay/run.go
@@ -26,6 +26,9 @@
 	// shortestSilence is the least time before that, so that a garbage collection or a
 	// lost packet does not double the load.
 	shortestSilence = 500 * time.Millisecond
+	// lastRequest is the time before its end from which on a leaving instance takes no
+	// request at all: plain services answer nearly all within a second.
+	lastRequest = time.Second
 	// leavingRetry is when a caller that a leaving instance refused may come back: at once,
 	// to another instance, with time for a connection.
 	leavingRetry = 50 * time.Millisecond
@@ -83,7 +86,8 @@
 	}
 	r.deadline = r.received.Add(wait)
 	if stop := r.relay.leaving.Load(); stop != nil {
-		if r.route.Kind == deployment.Streaming && !r.received.Before(stop.settled) {
+		streams := r.route.Kind == deployment.Streaming && !r.received.Before(stop.settled)
+		if streams || stop.end.Sub(r.received) < lastRequest {
 			return problem.New(problem.Leaving, "this instance leaves in %d ms", time.Until(stop.end).Milliseconds()).After(leavingRetry)
 		}
 		if stop.end.Before(r.deadline) {
--- a/entry/site/backends.go
+++ b/entry/site/backends.go
@@ -18,6 +18,8 @@
 	viewShare = 0.42
 	// viewTimeout bounds one view.
 	viewTimeout = 900 * time.Millisecond
+	// viewRetry is the time to the next view after one that failed.
+	viewRetry = 300 * time.Millisecond
 	// usualLeaving is the time that a leaving server has when it names none.
 	usualLeaving = 5 * time.Second
 	// evenPrice is the price of every server in the choice of one, in dollars an hour:
@@ -34,24 +36,26 @@
 func (s *Site) runView(ctx context.Context) error {
 	table := directory.New(directory.DefaultReturn)
 	period := time.Duration(viewShare * float64(milliseconds(s.set.LeavingMS)))
-	return every(ctx, period, func(ctx context.Context) {
+	return everyOr(ctx, period, min(viewRetry, period), func(ctx context.Context) bool {
+		begun := time.Now()
 		limited, cancel := context.WithTimeout(ctx, viewTimeout)
 		defer cancel()
 		view, err := s.platform.Viewer.View(limited)
 		if ctx.Err() != nil {
-			return
+			return false
 		}
 		s.contacts.note(s.part("site"), "store", err)
 		now := time.Now()
 		if err != nil {
-			table.Failed(now)
-			return
+			table.Failed(begun)
+			return false
 		}
 		if len(view.Configuration) > 0 {
 			s.adopt(view.Configuration, "store")
 		}
 		s.setServers(now, table.Listed(now, view.Servers))
 		s.setEntries(view.Own)
+		return true
 	})
 }
 
--- a/entry/site/exchange.go
+++ b/entry/site/exchange.go
@@ -142,8 +142,9 @@
 }
 
 // leaseMargin is added to the time for which the platform counts a duty as its holder's,
-// so that the next holder's first call comes after it.
-const leaseMargin = time.Second
+// so that the next holder's first call comes after it: a quarter of the sum is the margin
+// at whose start a holder stops to act, and it has to be longer than a call may take.
+const leaseMargin = 2500 * time.Millisecond
 
 func (s *Site) leaseTTL() time.Duration { return milliseconds(s.set.LeaseMS) + leaseMargin }
 
--- a/entry/site/serve.go
+++ b/entry/site/serve.go
@@ -153,7 +153,7 @@
 func (s *Site) carryOut(order drain.Order, l *listeners, log *logrus.Entry, deadline time.Time) {
 	switch order {
 	case drain.Unready:
-		s.relay.Drain(time.Now().Add(settleTime), deadline.Add(-answerMargin))
+		s.relay.Drain(time.Now().Add(settleTime), deadline.Add(-drain.CutLead-answerMargin))
 		s.tellPeers(time.Now())
 		s.send(s.members.Tick(time.Now()))
 	case drain.CloseIdle:
--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -220,6 +220,19 @@
 	}
 }
 
+// everyOr is every with another period after a step that failed.
+func everyOr(ctx context.Context, period, retry time.Duration, step func(ctx context.Context) bool) error {
+	for {
+		wait := period
+		if !step(ctx) {
+			wait = retry
+		}
+		if err := clock.Sleep(ctx, wait); err != nil {
+			return err
+		}
+	}
+}
+
 // tickPeriod is the time between two looks at unused connections and waiting requests.
 const tickPeriod = 250 * time.Millisecond
 
--- a/serving/process/directory/directory.go
+++ b/serving/process/directory/directory.go
@@ -9,7 +9,7 @@
 //
 //	table := directory.New(directory.DefaultReturn)
 //	servers := table.Listed(now, listed) // a whole listing was read
-//	table.Failed(now)                    // none could be read
+//	table.Failed(begun)                  // none could be read
 package directory
 
 import (
@@ -44,7 +44,6 @@
 type Table struct {
 	returns time.Duration
 	known   map[string]Server
-	failing bool
 	// until is when servers that were missing after the last outage count as gone.
 	until time.Time
 }
@@ -54,17 +53,15 @@
 	return &Table{returns: returns, known: map[string]Server{}}
 }
 
-// Failed notes that no listing could be read.
-func (t *Table) Failed(time.Time) { t.failing = true }
+// Failed notes that a listing that was begun at a time could not be read. The store came
+// back after that: an instance that was cut off alone must not keep servers longer than
+// the others, however late it notices that the cut has healed.
+func (t *Table) Failed(begun time.Time) { t.until = begun.Add(t.returns) }
 
 // Listed takes in a whole listing and returns the servers that may get work or are
 // leaving, sorted by id. An older incarnation never replaces a newer one, and leaving
 // ends only with a new incarnation.
 func (t *Table) Listed(now time.Time, listed []Server) []Server {
-	if t.failing {
-		t.failing = false
-		t.until = now.Add(t.returns)
-	}
 	present := make(map[string]bool, len(listed))
 	for _, server := range listed {
 		present[server.ID] = true
--- a/serving/process/directory/directory_test.go
+++ b/serving/process/directory/directory_test.go
@@ -37,6 +37,9 @@
 		"those that stay away are gone": {
 			{0, all, all}, {time.Second, nil, nil}, {2 * time.Second, one, all}, {4500 * time.Millisecond, one, one},
 		},
+		"a late first listing keeps them no longer": {
+			{0, all, all}, {time.Second, nil, nil}, {2600 * time.Millisecond, one, all}, {3600 * time.Millisecond, one, one},
+		},
 		"an older incarnation changes nothing": {
 			{0, []directory.Server{server("a", 2)}, []directory.Server{server("a", 2)}},
 			{time.Second, []directory.Server{server("a", 1)}, []directory.Server{server("a", 2)}},
