--- a/entry/relay/run.go
+++ b/entry/relay/run.go
@@ -253,8 +253,13 @@
 	if a.answer.Load != nil {
 		r.relay.report(now, a.choice.Backend, *a.answer.Load)
 	}
-	r.attempts++
 	r.relay.Meters.attempted(r.service)
+	if a.answer.Elsewhere {
+		// Another server has the address; the one that was meant was not reached.
+		r.unsent++
+		return
+	}
+	r.attempts++
 	if a.answer.NotRun {
 		return
 	}
@@ -305,6 +310,9 @@
 		}
 		return problem.New(problem.BackendRefused, "not run: %v", cause).After(retryAfter)
 	}
+	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errDeadline) {
+		return problem.New(problem.CallerGone, "%v", context.Cause(ctx))
+	}
 	if ctx.Err() != nil {
 		return problem.New(problem.DeadlineExceeded, "%v", context.Cause(ctx))
 	}
@@ -333,6 +341,9 @@
 	if r.version != nil {
 		fields["version"] = r.version.Version
 	}
+	if r.account != nil {
+		fields["tokens"] = r.tokens()
+	}
 	if r.firstByte > 0 {
 		fields["first_ms"] = r.firstByte.Milliseconds()
 	}
--- a/serving/process/problem/problem.go
+++ b/serving/process/problem/problem.go
@@ -56,6 +56,7 @@
 	QueueFull          Kind = "queue_full"
 	DeadlineInfeasible Kind = "deadline_infeasible"
 	DeadlineExceeded   Kind = "deadline_exceeded"
+	CallerGone         Kind = "caller_gone"
 	NoBackend          Kind = "no_backend"
 	BackendRefused     Kind = "backend_refused"
 	BackendFailed      Kind = "backend_failed"
@@ -100,6 +101,7 @@
 	QueueFull:          {http.StatusServiceUnavailable, NotRun, true, time.Second, "The queue is full"},
 	DeadlineInfeasible: {http.StatusServiceUnavailable, NotRun, true, time.Second, "The deadline can't be met"},
 	DeadlineExceeded:   {http.StatusGatewayTimeout, Unknown, true, time.Second, "The deadline passed"},
+	CallerGone:         {http.StatusBadGateway, Unknown, false, 0, "The caller left before its answer"},
 	NoBackend:          {http.StatusServiceUnavailable, NotRun, true, time.Second, "No backend server can take the request"},
 	BackendRefused:     {http.StatusServiceUnavailable, NotRun, true, time.Second, "The backend server refused the request"},
 	BackendFailed:      {http.StatusBadGateway, Failed, true, time.Second, "The backend server failed"},
--- a/standin/outside/server.go
+++ b/standin/outside/server.go
@@ -71,12 +71,13 @@
 	born    int64
 	cancel  context.CancelFunc
 
-	mu       sync.Mutex
-	wrong    Misbehaviour
-	times    int
-	active   int
-	runs     []Run
-	draining bool
+	mu          sync.Mutex
+	wrong       Misbehaviour
+	times       int
+	active      int
+	runs        []Run
+	misdirected int
+	draining    bool
 }
 
 // Start starts a backend server and registers it.
@@ -135,6 +136,13 @@
 	return append([]Run(nil), b.runs...)
 }
 
+// Misdirected returns the number of requests that were meant for another server.
+func (b *Backend) Misdirected() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.misdirected
+}
+
 // Seal returns the signature of an answer to a request.
 func (b *Backend) Seal(id string) string { return "seal." + b.ID + "." + id }
 
@@ -178,6 +186,9 @@
 	}
 	if expected := r.Header.Get("X-Papayaport-Expected-Instance"); expected != "" && expected != b.ID {
 		header.Set("X-Papayaport-Instance-Id", b.ID)
+		b.mu.Lock()
+		b.misdirected++
+		b.mu.Unlock()
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
