--- a/serving/process/sizing/sizing.go
+++ b/serving/process/sizing/sizing.go
@@ -51,7 +51,7 @@
 	// firstShare divides the largest number of servers of a failure domain into the number
 	// that stands while the load is not known yet: reclaimable servers are cheap, and a
 	// start with too few takes a boot time and more to make up.
-	firstShare = 3
+	firstShare = 2
 	// insuredDomains is the number of failure domains with reclaimable servers from which
 	// on on-demand ones are started: the next reclaim may come before any could boot.
 	insuredDomains = 2
