Let one instance keep an account's limit in a large fleet

Ruled out: jumps alone, eight instances hold them. Change: from 24 entry instances on, the first of an account's rendezvous order among the store's records keeps its whole limit, the others ask it; the second stands in for it, and without either an instance uses its own part.

--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -29,7 +29,6 @@
 
 	"papayaport.dev/serving/connection/upstream"
 	"papayaport.dev/serving/process/problem"
-	"papayaport.dev/serving/request/admission"
 	"papayaport.dev/serving/request/budget"
 	"papayaport.dev/serving/request/route"
 	"papayaport.dev/serving/version/deployment"
@@ -131,23 +130,22 @@
 	Began(at time.Time, account string)
 }
 
-// Lender gets unused parts of a client account's limit from other entry instances.
-type Lender interface {
-	// Borrow tells whether anything was lent.
-	Borrow(ctx context.Context, account string) bool
+// Limiter keeps the limits of client accounts over all entry instances.
+type Limiter interface {
+	// Admit charges a request to its account, or returns a *problem.Error.
+	Admit(ctx context.Context, id, account string, tokens int) error
 }
 
 // Parts is what a relay works with.
 type Parts struct {
-	Versions  Versions
-	Routes    *route.Table
-	Admission *admission.Table
-	Budget    *budget.Table
-	Pool      *upstream.Pool
-	Usage     Usage
-	Codec     Codec
-	Meters    *Meters
-	Lender    Lender
+	Versions Versions
+	Routes   *route.Table
+	Limiter  Limiter
+	Budget   *budget.Table
+	Pool     *upstream.Pool
+	Usage    Usage
+	Codec    Codec
+	Meters   *Meters
 	// Entries returns the number of entry instances.
 	Entries func() int
 	// Draw returns random numbers in [0, 1).
@@ -163,10 +161,6 @@
 	serial   atomic.Uint64
 }
 
-// AccountsService is the name under which admission keeps the limits of client accounts,
-// which hold over all services.
-const AccountsService = "accounts"
-
 const (
 	// bodyTimeout bounds the time in which a caller sends its body.
 	bodyTimeout = 10 * time.Second
@@ -210,12 +204,10 @@
 		run.refuse(w, problem.From(err))
 		return
 	}
-	release, err := run.admit(request.Context())
-	if err != nil {
+	if err := run.admit(request.Context()); err != nil {
 		run.refuse(w, problem.From(err))
 		return
 	}
-	defer release()
 	run.serve(request.Context(), w)
 }
 
--- a/entry/relay/run.go
+++ b/entry/relay/run.go
@@ -11,7 +11,6 @@
 
 	"papayaport.dev/serving/connection/upstream"
 	"papayaport.dev/serving/process/problem"
-	"papayaport.dev/serving/request/admission"
 	"papayaport.dev/serving/request/route"
 	"papayaport.dev/serving/version/deployment"
 	"papayaport.dev/serving/version/service"
@@ -109,20 +108,11 @@
 }
 
 // admit checks the limits of the client account.
-func (r *run) admit(ctx context.Context) (release func(), err error) {
+func (r *run) admit(ctx context.Context) error {
 	if r.account == nil || (r.account.TokensPerSecond <= 0 && r.account.RequestsPerSecond <= 0) {
-		return func() {}, nil
+		return nil
 	}
-	id := r.relay.attemptID(r.call)
-	ask := admission.Ask{RequestID: id, Service: AccountsService, Account: r.account.Name, Tokens: r.tokens()}
-	order, _ := r.relay.Admission.Ask(time.Now(), ask)
-	if order.Verdict == admission.Refused && r.relay.Lender.Borrow(ctx, r.account.Name) {
-		order, _ = r.relay.Admission.Ask(time.Now(), ask)
-	}
-	if order.Verdict == admission.Refused {
-		return nil, order.Problem
-	}
-	return func() { r.relay.Admission.Done(time.Now(), id, r.tokens()) }, nil
+	return r.relay.Limiter.Admit(ctx, r.relay.attemptID(r.call), r.account.Name, r.tokens())
 }
 
 func (r *run) priority() int {
--- a/entry/site/borrow.go
+++ b/entry/site/borrow.go
@@ -6,9 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-	"github.com/pkg/errors"
-
 	"papayaport.dev/serving/request/admission"
 )
 
@@ -30,9 +27,9 @@
 	})
 }
 
-// Borrow pays the debt of one client account right before a request would be refused. It
+// payOne pays the debt of one client account right before a request would be refused. It
 // tells whether anything was lent.
-func (s *Site) Borrow(ctx context.Context, account string) bool {
+func (s *Site) payOne(ctx context.Context, account string) bool {
 	for _, debt := range s.admission.Debts(time.Now()) {
 		if debt.Account == account {
 			return s.pay(ctx, debt)
@@ -91,30 +88,10 @@
 func (s *Site) borrow(ctx context.Context, address string, debt admission.Debt) float64 {
 	ctx, cancel := context.WithTimeout(ctx, lendTimeout)
 	defer cancel()
-	query, err := cbor.Marshal(debt)
-	if err != nil {
-		s.part("limits").WithError(err).Error("limits: debt not encoded")
-		return 0
-	}
-	answer, err := s.peers.Action(ctx, address, query)
+	reply, err := s.askPeer(ctx, address, limitQuery{Lend: &debt})
 	if err != nil {
 		s.part("limits").WithError(err).Debug("limits: peer did not answer")
 		return 0
 	}
-	var lent float64
-	if err := cbor.Unmarshal(answer, &lent); err != nil {
-		s.part("limits").WithError(err).Warn("limits: answer of a peer unreadable")
-		return 0
-	}
-	return lent
-}
-
-// Action lends a part of a client account's limit to another entry instance.
-func (h *handler) Action(_ context.Context, query []byte) ([]byte, error) {
-	var debt admission.Debt
-	if err := cbor.Unmarshal(query, &debt); err != nil {
-		return nil, errors.Wrap(err, "decode debt")
-	}
-	answer, err := cbor.Marshal(h.s.admission.Lend(time.Now(), debt))
-	return answer, errors.Wrap(err, "encode answer")
+	return reply.Lent
 }
--- a/entry/site/configuration.go
+++ b/entry/site/configuration.go
@@ -7,7 +7,6 @@
 
 	"github.com/sirupsen/logrus"
 
-	"papayaport.dev/entry/relay"
 	"papayaport.dev/serving/version/deployment"
 	"papayaport.dev/serving/version/service"
 )
@@ -30,9 +29,11 @@
 	if !s.keeper.Adopt(deployment.Held{Version: version, Raw: raw}) {
 		return
 	}
-	s.admission.SetServices(time.Now(), version.Version, s.accountLimits(version))
+	limits := s.accountLimits(version)
+	s.admission.SetServices(time.Now(), version.Version, limits)
+	s.kept.SetServices(time.Now(), version.Version, limits)
 	for _, account := range version.Accounts {
-		s.members.Know(relay.AccountsService + "/" + account.Name)
+		s.members.Know(accountsService + "/" + account.Name)
 	}
 	s.tellPeers(time.Now())
 	log.WithFields(logrus.Fields{
@@ -43,7 +44,7 @@
 // accountLimits gives the limits of client accounts the form of one service file, since
 // they hold over all services.
 func (s *Site) accountLimits(version *deployment.Version) []*service.File {
-	file := &service.File{Name: relay.AccountsService, Queue: service.Queue{MaxRequests: 1}}
+	file := &service.File{Name: accountsService, Queue: service.Queue{MaxRequests: 1}}
 	for _, account := range version.Accounts {
 		file.Accounts = append(file.Accounts, service.Account{
 			Name: account.Name, RequestsPerSecond: account.RequestsPerSecond, TokensPerSecond: account.TokensPerSecond,
--- /dev/null
+++ b/entry/site/limits.go
@@ -0,0 +1,183 @@
+package site
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"papayaport.dev/serving/process/problem"
+	"papayaport.dev/serving/request/admission"
+)
+
+const (
+	// accountsService is the name under which admission holds the limits of client
+	// accounts, which hold over all services.
+	accountsService = "accounts"
+	// keepers is the number of entry instances that are asked one after the other for an
+	// account whose first keeper does not answer.
+	keepers = 2
+	// keeperTimeout bounds the call to one of them; peers of a region answer in a few
+	// milliseconds.
+	keeperTimeout = 200 * time.Millisecond
+	// unreachedFor is how long a keeper that did not answer is passed over.
+	unreachedFor = 3 * time.Second
+)
+
+// limitQuery is a question of one entry instance to another about a client account's
+// limit: one of the two is set.
+type limitQuery struct {
+	// Lend asks for unused tokens.
+	Lend *admission.Debt `cbor:"1,keyasint,omitempty"`
+	// Admit asks the keeper of a limit to charge a request.
+	Admit *admission.Ask `cbor:"2,keyasint,omitempty"`
+}
+
+// limitReply is the answer.
+type limitReply struct {
+	Lent     float64 `cbor:"1,keyasint,omitempty"`
+	Refused  bool    `cbor:"2,keyasint,omitempty"`
+	Detail   string  `cbor:"3,keyasint,omitempty"`
+	RetryMS  int64   `cbor:"4,keyasint,omitempty"`
+	NotKnown bool    `cbor:"5,keyasint,omitempty"`
+}
+
+// Admit charges a request to its account. In a small fleet each entry instance has a part
+// of the limit; in a large one a keeper has the whole.
+func (s *Site) Admit(ctx context.Context, id, account string, tokens int) error {
+	ask := admission.Ask{RequestID: id, Service: accountsService, Account: account, Tokens: tokens}
+	if s.entries() >= s.set.Quota.KeptFrom {
+		if asked, err := s.askKeepers(ctx, ask); asked {
+			return err
+		}
+	}
+	err := charge(s.admission, ask)
+	if err != nil && s.payOne(ctx, account) {
+		err = charge(s.admission, ask)
+	}
+	if err != nil {
+		return err
+	}
+	return nil
+}
+
+// charge asks a table and gives the place back at once: only rates are limited here.
+func charge(table *admission.Table, ask admission.Ask) *problem.Error {
+	order, _ := table.Ask(time.Now(), ask)
+	if order.Verdict == admission.Refused {
+		return order.Problem
+	}
+	table.Done(time.Now(), ask.RequestID, ask.Tokens)
+	return nil
+}
+
+// askKeepers asks the keepers of an account in their order. Without an answer this
+// instance falls back to its own part.
+func (s *Site) askKeepers(ctx context.Context, ask admission.Ask) (answered bool, err error) {
+	for _, keeper := range s.keepersOf(ask.Account) {
+		if keeper.PeerAddress == s.set.Peers {
+			if refusal := charge(s.kept, ask); refusal != nil {
+				return true, refusal
+			}
+			return true, nil
+		}
+		if s.unreached.lately(keeper.PeerAddress) {
+			continue
+		}
+		limited, cancel := context.WithTimeout(ctx, keeperTimeout)
+		reply, err := s.askPeer(limited, keeper.PeerAddress, limitQuery{Admit: &ask})
+		cancel()
+		if err != nil {
+			s.unreached.note(keeper.PeerAddress)
+			s.part("limits").WithError(err).WithField("account", ask.Account).Warn("limits: keeper did not answer")
+			continue
+		}
+		switch {
+		case reply.NotKnown:
+			continue
+		case reply.Refused:
+			return true, problem.New(problem.AccountLimit, "%s", reply.Detail).After(time.Duration(reply.RetryMS) * time.Millisecond)
+		}
+		return true, nil
+	}
+	return false, nil
+}
+
+// keepersOf returns the first entry instances in an account's rendezvous order (Thaler and
+// Ravishankar, 1998) among those that the store lists, so that all agree without a call.
+func (s *Site) keepersOf(account string) []record {
+	s.mu.Lock()
+	records := slices.Clone(s.records)
+	s.mu.Unlock()
+	rank := func(r record) uint64 { return xxhash.Sum64String(r.PeerAddress + "\x00" + account) }
+	slices.SortFunc(records, func(a, b record) int { return cmp.Compare(rank(b), rank(a)) })
+	return records[:min(keepers, len(records))]
+}
+
+func (s *Site) askPeer(ctx context.Context, address string, query limitQuery) (limitReply, error) {
+	var reply limitReply
+	data, err := cbor.Marshal(query)
+	if err != nil {
+		return reply, errors.Wrap(err, "encode query")
+	}
+	answer, err := s.peers.Action(ctx, address, data)
+	if err != nil {
+		return reply, err
+	}
+	return reply, errors.Wrap(cbor.Unmarshal(answer, &reply), "decode reply")
+}
+
+// Action answers a question about a client account's limit.
+func (h *handler) Action(_ context.Context, data []byte) ([]byte, error) {
+	var query limitQuery
+	if err := cbor.Unmarshal(data, &query); err != nil {
+		return nil, errors.Wrap(err, "decode query")
+	}
+	var reply limitReply
+	switch {
+	case query.Lend != nil:
+		reply.Lent = h.s.admission.Lend(time.Now(), *query.Lend)
+	case query.Admit != nil:
+		reply = h.s.keep(*query.Admit)
+	}
+	answer, err := cbor.Marshal(reply)
+	return answer, errors.Wrap(err, "encode reply")
+}
+
+// keep charges a request of another entry instance to an account that is kept here.
+func (s *Site) keep(ask admission.Ask) limitReply {
+	refusal := charge(s.kept, ask)
+	switch {
+	case refusal == nil:
+		return limitReply{}
+	case refusal.Kind != problem.AccountLimit:
+		return limitReply{NotKnown: true} // the configuration here lags or is ahead
+	}
+	return limitReply{Refused: true, Detail: refusal.Detail, RetryMS: refusal.RetryAfter.Milliseconds()}
+}
+
+// unreached remembers keepers that did not answer.
+type unreached struct {
+	mu sync.Mutex
+	at map[string]time.Time
+}
+
+func (u *unreached) lately(address string) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return time.Since(u.at[address]) < unreachedFor
+}
+
+func (u *unreached) note(address string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.at == nil {
+		u.at = map[string]time.Time{}
+	}
+	u.at[address] = time.Now()
+}
--- a/entry/site/orders.go
+++ b/entry/site/orders.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"papayaport.dev/serving/process/sizing"
+	"papayaport.dev/serving/request/admission"
 	"papayaport.dev/serving/version/deployment"
 )
 
@@ -99,8 +100,10 @@
 
 // tokensPerSecond returns what client accounts ask for through this instance.
 func (s *Site) tokensPerSecond(now time.Time) (total float64) {
-	for _, use := range s.admission.Use(now) {
-		total += use.TokensPerSecond
+	for _, table := range []*admission.Table{s.admission, s.kept} {
+		for _, use := range table.Use(now) {
+			total += use.TokensPerSecond
+		}
 	}
 	return total
 }
--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -107,10 +107,13 @@
 	started  time.Time
 	meters   *metrics.Set
 
-	keeper    deployment.Keeper
-	relay     *relay.Relay
-	routes    *route.Table
+	keeper deployment.Keeper
+	relay  *relay.Relay
+	routes *route.Table
+	// admission holds this instance's parts of the limits of client accounts, and kept the
+	// whole limits of the accounts that this instance keeps for a large fleet.
 	admission *admission.Table
+	kept      *admission.Table
 	budget    *budget.Table
 	pool      *upstream.Pool
 	usage     *usage.Counter
@@ -131,6 +134,7 @@
 	planner    *sizing.Planner
 	contacts   contacts
 	debts      debtors
+	unreached  unreached
 }
 
 // New joins the parts of an entry instance. Nothing runs yet.
@@ -143,7 +147,7 @@
 	if s.routes, err = route.New(here, set.Policy, seeded()); err != nil {
 		return nil, errors.Wrap(err, "policy")
 	}
-	s.admission = admission.New()
+	s.admission, s.kept = admission.New(), admission.New()
 	s.budget = budget.New(budget.Limits{
 		Ratio: set.Retry.Ratio, Window: seconds(set.Retry.WindowS), Allowance: set.Retry.Allowance,
 	})
@@ -155,8 +159,8 @@
 	s.leases = lease.New(lapsing{p.Store}, set.Instance+"/"+formatIncarnation(s.incarnation()), s.wantedLeases, s.leaseRank,
 		s.leaseTTL(), clock.Boot, seeded())
 	s.relay = relay.New(relay.Parts{
-		Versions: &s.keeper, Routes: s.routes, Admission: s.admission, Budget: s.budget, Pool: s.pool, Usage: s.usage,
-		Codec: p.Codec, Meters: relay.NewMeters(s.meters), Entries: s.entries, Draw: rand.Float64, Lender: s, Log: s.part("relay"),
+		Versions: &s.keeper, Routes: s.routes, Limiter: s, Budget: s.budget, Pool: s.pool, Usage: s.usage,
+		Codec: p.Codec, Meters: relay.NewMeters(s.meters), Entries: s.entries, Draw: rand.Float64, Log: s.part("relay"),
 	})
 	s.registerGauges()
 	return s, nil
@@ -245,6 +249,7 @@
 		}
 		s.pool.Tick(now, func(id string) bool { return listed[id] })
 		s.admission.Tick(now)
+		s.kept.Tick(now)
 		s.budget.SetEntries(s.entries())
 	})
 }
