--- a/entry/site/backends.go
+++ b/entry/site/backends.go
@@ -44,7 +44,9 @@
 		if ctx.Err() != nil {
 			return false
 		}
-		s.contacts.note(s.part("site"), "store", err)
+		if s.contacts.note(s.part("site"), "store", err) {
+			s.leases.Regained()
+		}
 		now := time.Now()
 		if err != nil {
 			table.Failed(begun)
--- a/entry/site/contacts.go
+++ b/entry/site/contacts.go
@@ -15,7 +15,8 @@
 	lost map[string]time.Time
 }
 
-func (c *contacts) note(log *logrus.Entry, name string, err error) {
+// note takes in how a call ended, and tells whether the service was regained by it.
+func (c *contacts) note(log *logrus.Entry, name string, err error) bool {
 	c.mu.Lock()
 	since, lost := c.lost[name]
 	switch {
@@ -35,4 +36,5 @@
 		log.WithFields(logrus.Fields{"dependency": name, "after_ms": clock.Boot().Sub(since).Milliseconds()}).
 			Info("site: dependency regained")
 	}
+	return err == nil && lost
 }
--- a/serving/process/lease/lease.go
+++ b/serving/process/lease/lease.go
@@ -114,6 +114,15 @@
 	return machine.Held(l.clock())
 }
 
+// Regained tells that the store answers again, as seen by another call.
+func (l *Leases) Regained() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, machine := range l.machines {
+		machine.Regained(l.clock())
+	}
+}
+
 // Run tries for and renews leases until ctx ends, and then releases those held.
 func (l *Leases) Run(ctx context.Context) error {
 	var calls errgroup.Group
--- a/serving/process/lease/machine.go
+++ b/serving/process/lease/machine.go
@@ -157,6 +157,15 @@
 	m.next = now.Add(m.backoff/2 + m.jitter(m.backoff))
 }
 
+// Regained tells that the store answers again after calls without an answer, so that the
+// next one need not wait for the backoff.
+func (m *Machine) Regained(now time.Time) {
+	if m.pending == NoCall && m.backoff > 0 {
+		m.backoff = 0
+		m.next = now.Add(m.jitter(firstBackoff))
+	}
+}
+
 func (m *Machine) jitter(d time.Duration) time.Duration {
 	return time.Duration(m.Random.Int64N(int64(d)/2 + 1))
 }
--- a/serving/process/lease/machine_test.go
+++ b/serving/process/lease/machine_test.go
@@ -81,6 +81,20 @@
 	require.Greater(t, calls, 20)
 }
 
+// TestRegainedStoreIsAskedAtOnce answers a duty without a holder behind a long outage.
+func TestRegainedStoreIsAskedAtOnce(t *testing.T) {
+	m := &lease.Machine{TTL: ttl, Random: random()}
+	now := start
+	for ; now.Before(start.Add(time.Minute)); now = now.Add(100 * time.Millisecond) {
+		if m.Step(now, 0, true).Call != lease.NoCall {
+			m.Answered(now, lease.Answer{Outcome: lease.Unavailable})
+		}
+	}
+	require.Equal(t, lease.NoCall, m.Step(now.Add(100*time.Millisecond), 0, true).Call, "still backing off")
+	m.Regained(now)
+	require.Equal(t, lease.AcquireCall, m.Step(now.Add(400*time.Millisecond), 0, true).Call)
+}
+
 func TestCallsFollowLeasesNotCandidates(t *testing.T) {
 	for name, count := range map[string]int{"today": 8, "target": 380} {
 		t.Run(name, func(t *testing.T) {
