--- a/entry/site/orders.go
+++ b/entry/site/orders.go
@@ -68,18 +68,18 @@
 		}
 		in.Live[server.FailureDomain] = count
 	}
-	// Peers tell their demand sooner in a small fleet, the records in a large one.
-	heard, recorded := s.tokensPerSecond(now), 0.0
-	for _, use := range s.members.Totals(now).ByAccount {
-		heard += use.TokensPerSecond
-	}
+	recorded := 0.0
 	s.mu.Lock()
 	for _, r := range s.records {
 		recorded += r.TokensPerSecond
 		in.InFlight += r.InFlight[svc.Name]
 	}
 	s.mu.Unlock()
-	in.PrefillPerSecond = uncachedShare * max(heard, recorded)
+	if s.entries() < s.set.Quota.KeptFrom {
+		// Peers of a small fleet tell their demand sooner than the records.
+		recorded = s.owed(s.askedFor(now))
+	}
+	in.PrefillPerSecond = uncachedShare * recorded
 	return in
 }
 
@@ -98,12 +98,44 @@
 	return inFlight
 }
 
-// tokensPerSecond returns what client accounts ask for through this instance.
-func (s *Site) tokensPerSecond(now time.Time) (total float64) {
+// tokensPerSecond returns what client accounts ask for through this instance, and what
+// they ask for altogether where this instance keeps their limit.
+func (s *Site) tokensPerSecond(now time.Time) float64 {
+	asked := map[string]float64{}
 	for _, table := range []*admission.Table{s.admission, s.kept} {
 		for _, use := range table.Use(now) {
-			total += use.TokensPerSecond
+			asked[use.Account] += use.TokensPerSecond
+		}
+	}
+	return s.owed(asked)
+}
+
+// askedFor returns what client accounts ask for through all entry instances heard of.
+func (s *Site) askedFor(now time.Time) map[string]float64 {
+	asked := map[string]float64{}
+	for _, use := range s.admission.Use(now) {
+		asked[use.Account] += use.TokensPerSecond
+	}
+	for _, use := range s.members.Totals(now).ByAccount {
+		asked[use.Account] += use.TokensPerSecond
+	}
+	return asked
+}
+
+// owed adds up demand, what lies beyond an account's limit left out: it is refused, and
+// servers for it would stand idle.
+func (s *Site) owed(asked map[string]float64) (total float64) {
+	version := s.keeper.Current()
+	if version == nil {
+		return 0
+	}
+	for i := range version.Accounts {
+		account := &version.Accounts[i]
+		demand := asked[accountsService+"/"+account.Name]
+		if account.TokensPerSecond > 0 {
+			demand = min(demand, account.TokensPerSecond)
 		}
+		total += demand
 	}
 	return total
 }
--- a/serving/process/sizing/sizing.go
+++ b/serving/process/sizing/sizing.go
@@ -33,9 +33,9 @@
 	// tokens is still well within the targets of interactive use.
 	slotShare = 0.3
 	// prefillPerServer is the number of uncached prompt tokens that an engine should read
-	// in a second, a fifth of what the engines of today's deployments can, so that a long
+	// in a second, a sixth of what the engines of today's deployments can, so that a long
 	// prompt seldom waits for another.
-	prefillPerServer = 12_000
+	prefillPerServer = 9_000
 	// shrinkAfter is how long the load must stay below before a part of the servers is
 	// given up, and shrinkShare what is kept of them at each step: what a large fleet tells
 	// of its load comes late, and a burst of users seldom comes alone.
@@ -55,6 +55,9 @@
 	// insuredDomains is the number of failure domains with reclaimable servers from which
 	// on on-demand ones are started: the next reclaim may come before any could boot.
 	insuredDomains = 2
+	// leastShare is the share of the need that stands on demand while reclaimable servers
+	// are refused: the need has a reserve, and on-demand servers are several times dearer.
+	leastShare = 0.5
 )
 
 // Count is the number of servers of each kind.
@@ -209,10 +212,23 @@
 		wanted = need
 	case available <= insuredDomains:
 		wanted = max(wanted, (need+1)/2)
+	case p.refusedAnywhere(in):
+		wanted = max(wanted, int(math.Ceil(leastShare*float64(need)))-reclaimable)
 	}
 	return p.spread(in, wanted)
 }
 
+// refusedAnywhere tells whether the last order for reclaimable servers of a failure domain
+// was refused.
+func (p *Planner) refusedAnywhere(in Input) bool {
+	for domain := range in.Live {
+		if !p.orders[kind{in.Service.Name, domain, true}].refused.IsZero() {
+			return true
+		}
+	}
+	return false
+}
+
 // spread divides on-demand servers among the failure domains: first those that have some,
 // then the cheapest, one after the other.
 func (p *Planner) spread(in Input, wanted int) []Order {
--- a/serving/process/sizing/sizing_test.go
+++ b/serving/process/sizing/sizing_test.go
@@ -127,6 +127,20 @@
 	require.Zero(t, p.total(false))
 }
 
+// TestBurstWhileNoneAreToBeHad answers a burst in the middle of a wave: reclaimable servers
+// are refused although three domains still have some, and half of the need comes on demand.
+func TestBurstWhileNoneAreToBeHad(t *testing.T) {
+	p := plan(sizing.Input{Service: service(), Live: counts(1, 0), InFlight: 30, PrefillPerSecond: 20_000})
+	p.step(0)
+	p.step(16 * time.Second)
+	p.step(32 * time.Second)
+	p.step(48 * time.Second)
+	p.refuse = func(order sizing.Order) bool { return order.Reclaimable }
+	p.in.PrefillPerSecond = 160_000 // 18 servers
+	p.step(50 * time.Second)
+	require.Equal(t, 5, p.total(false), "half of the need less the four that stand")
+}
+
 // TestLossOfADomain answers the reclaim of a whole failure domain under load: what is
 // ordered carries the load without any one domain.
 func TestLossOfADomain(t *testing.T) {
