Give the daemon its platform through interfaces

The daemon joined the clients of its stand-in dialects itself. It now takes the store, the instance list and the cloud API as interfaces that it declares (daemon.Outside); the product's own dialect is daemon.Connect. The store's part is the one that the site uses, so that one implementation of it serves both. Behaviour is unchanged.

--- a/entry/daemon/capacity.go
+++ b/entry/daemon/capacity.go
@@ -31,11 +31,11 @@
 }
 
 func (d *Daemon) joinCapacity() {
-	if d.cloud == nil {
+	if d.outside.Cloud == nil {
 		return
 	}
 	d.capacity = capacity.New(capacity.Parts{
-		Store: d.store, Cloud: d.cloud, Engines: &engineOrders{d.control},
+		Store: d.outside.Store, Cloud: d.outside.Cloud, Engines: &engineOrders{d.outside.HTTP},
 		Drainer: d, Leases: d.leases, Log: d.entry("capacity"),
 	}, d.set.FailureDomain, time.Now, d.seeded())
 }
@@ -60,7 +60,7 @@
 		if !d.plansCapacity() {
 			return
 		}
-		if prices, err := d.cloud.Prices(ctx); err == nil {
+		if prices, err := d.outside.Cloud.Prices(ctx); err == nil {
 			d.capacity.Prices(prices)
 		}
 	})
--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -4,7 +4,7 @@
 //
 // # Usage
 //
-//	d, err := daemon.New(settings, log)
+//	d, err := daemon.New(settings, daemon.Connect(settings), log)
 //	err = d.Run(ctx) // until ctx ends, and then until all requests are answered
 package daemon
 
@@ -12,7 +12,6 @@
 	"context"
 	"crypto/tls"
 	"math/rand/v2"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -30,10 +29,6 @@
 	"papayaport.dev/serving/process/capacity"
 	"papayaport.dev/serving/process/lease"
 	"papayaport.dev/serving/process/membership"
-	"papayaport.dev/serving/process/platform/cloud"
-	"papayaport.dev/serving/process/platform/contact"
-	"papayaport.dev/serving/process/platform/instance"
-	"papayaport.dev/serving/process/platform/store"
 	"papayaport.dev/serving/process/settings"
 	"papayaport.dev/serving/request/action"
 	"papayaport.dev/serving/request/admission"
@@ -59,26 +54,21 @@
 	random  *rand.Rand
 	tls     *tls.Config
 
-	store *store.Client
-	// storeContact remembers when the key-value service last answered.
-	storeContact *contact.Contact
-	list         *instance.Client
-	cloud        *cloud.Client
-	control      *http.Client
-	members      *membership.Table
-	traffic      *peer.Traffic
-	peers        *peer.Client
-	leases       *lease.Leases
-	keeper       *publication.Keeper
-	publisher    *publication.Publisher
-	capacity     *capacity.Manager
-	actions      *action.Keeper
-	routes       *route.Table
-	admission    *admission.Table
-	retries      *retry.Table
-	gateway      *gateway.Gateway
-	meters       *metrics.Set
-	tokens       administration.Tokens
+	outside   Outside
+	members   *membership.Table
+	traffic   *peer.Traffic
+	peers     *peer.Client
+	leases    *lease.Leases
+	keeper    *publication.Keeper
+	publisher *publication.Publisher
+	capacity  *capacity.Manager
+	actions   *action.Keeper
+	routes    *route.Table
+	admission *admission.Table
+	retries   *retry.Table
+	gateway   *gateway.Gateway
+	meters    *metrics.Set
+	tokens    administration.Tokens
 
 	fleet      *fleet
 	memberList memberList
@@ -91,8 +81,8 @@
 }
 
 // New joins the parts of an entry instance. Nothing runs yet.
-func New(set settings.Settings, log *logrus.Logger) (*Daemon, error) {
-	d := &Daemon{set: set, log: log, started: time.Now(), meters: metrics.NewSet(), leave: make(chan struct{})}
+func New(set settings.Settings, outside Outside, log *logrus.Logger) (*Daemon, error) {
+	d := &Daemon{set: set, outside: outside, log: log, started: time.Now(), meters: metrics.NewSet(), leave: make(chan struct{})}
 	if d.set.Incarnation == 0 {
 		d.set.Incarnation = uint64(d.started.UnixMilli())
 	}
@@ -104,7 +94,6 @@
 	if d.tokens, err = loadTokens(set.OperatorTokensFile); err != nil {
 		return nil, err
 	}
-	d.joinPlatform()
 	d.joinPeers()
 	if err := d.joinTables(); err != nil {
 		return nil, err
@@ -125,23 +114,12 @@
 	return d.log.WithFields(logrus.Fields{"instance": d.set.Instance, "part": part})
 }
 
-func (d *Daemon) joinPlatform() {
-	transport := &http.Transport{MaxIdleConnsPerHost: 8, IdleConnTimeout: 30 * time.Second}
-	d.control = &http.Client{Transport: transport}
-	d.storeContact = contact.New(transport)
-	d.store = store.New(&http.Client{Transport: d.storeContact}, d.set.Store.Address, d.set.Store.Prefix)
-	d.list = instance.New(d.control, d.set.Instances.Address)
-	if d.set.Cloud.Address != "" {
-		d.cloud = cloud.New(d.control, d.set.Cloud.Address)
-	}
-}
-
 func (d *Daemon) joinPeers() {
 	d.members = membership.New(d.self(), d.set.SeedPeers, d.seeded(), membership.DefaultBudget)
 	d.traffic = &peer.Traffic{}
 	d.peers = peer.New(d.peerOptions())
 	holder := d.set.Instance + "/" + formatIncarnation(d.set.Incarnation)
-	d.leases = lease.New(d.store, holder, d.wantedLeases, d.leaseRank, lease.DefaultTTL, time.Now, d.seeded())
+	d.leases = lease.New(d.outside.Store, holder, d.wantedLeases, d.leaseRank, lease.DefaultTTL, time.Now, d.seeded())
 }
 
 func (d *Daemon) self() membership.Member {
@@ -172,13 +150,13 @@
 
 func (d *Daemon) joinVersions() {
 	log := d.entry("publication")
-	d.keeper = publication.NewKeeper(d.store, &peerSource{d}, d.watching, log)
-	d.publisher = publication.NewPublisher(d.store, d.keeper, log)
+	d.keeper = publication.NewKeeper(d.outside.Store, &peerSource{d}, d.watching, log)
+	d.publisher = publication.NewPublisher(d.outside.Store, d.keeper, log)
 }
 
 func (d *Daemon) joinGateway() {
 	self := action.Self{Instance: d.set.Instance, Incarnation: d.set.Incarnation, FailureDomain: d.set.FailureDomain}
-	d.actions = action.New(d.store, &actionPeers{d}, self, d.actionMembers, action.DefaultSettings(), d.seeded(), d.entry("action"))
+	d.actions = action.New(d.outside.Store, &actionPeers{d}, self, d.actionMembers, action.DefaultSettings(), d.seeded(), d.entry("action"))
 	connections := pool.New(pool.DefaultOptions)
 	d.gateway = gateway.New(gateway.Parts{
 		Versions: &servable{d}, Routes: d.routes, Admission: d.admission, Retries: d.retries,
--- a/entry/daemon/daemon_test.go
+++ b/entry/daemon/daemon_test.go
@@ -112,7 +112,7 @@
 func run(t *testing.T, set settings.Settings) *Daemon {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	d, err := New(set, log)
+	d, err := New(set, Connect(set), log)
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
@@ -179,7 +179,7 @@
 		t.Run(name, func(t *testing.T) {
 			set := testSettings(t, "entry-1", "http://127.0.0.1:1")
 			spoil(&set)
-			_, err := New(set, logrus.New())
+			_, err := New(set, Connect(set), logrus.New())
 			require.Error(t, err)
 		})
 	}
--- a/entry/daemon/fleet.go
+++ b/entry/daemon/fleet.go
@@ -110,7 +110,7 @@
 	return every(ctx, listPeriod, func(ctx context.Context, _ time.Time) {
 		ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 		defer cancel()
-		list, err := d.list.List(ctx)
+		list, err := d.outside.Instances.List(ctx)
 		if err != nil {
 			d.entry("fleet").WithError(err).Debug("fleet: instance list unreadable")
 			return
@@ -166,12 +166,12 @@
 
 // runNotices waits for notices of the cloud API.
 func (d *Daemon) runNotices(ctx context.Context) error {
-	if d.cloud == nil {
+	if d.outside.Cloud == nil {
 		return nil
 	}
 	after := uint64(0)
 	for ctx.Err() == nil {
-		notices, err := d.cloud.Notices(ctx, after, noticeWait)
+		notices, err := d.outside.Cloud.Notices(ctx, after, noticeWait)
 		if err != nil {
 			_ = clock.Sleep(ctx, platformWait)
 			continue
@@ -229,7 +229,7 @@
 func (d *Daemon) pollEngine(ctx context.Context, inst platform.Instance) {
 	ctx, cancel := context.WithTimeout(ctx, engineTimeout)
 	defer cancel()
-	client := engine.New(d.control, inst.Address)
+	client := engine.New(d.outside.HTTP, inst.Address)
 	load, err := client.Load(ctx)
 	if err != nil {
 		return
--- a/entry/daemon/gauges.go
+++ b/entry/daemon/gauges.go
@@ -30,6 +30,6 @@
 	gauge("peer_bytes_out_total", func() float64 { return float64(d.traffic.Out.Load()) })
 	gauge("peer_dials_total", func() float64 { return float64(d.traffic.Dials.Load()) })
 	for _, kind := range storeCallKinds {
-		gauge(fmt.Sprintf("store_calls_total{kind=%q}", kind), func() float64 { return float64(d.store.Calls()[kind]) })
+		gauge(fmt.Sprintf("store_calls_total{kind=%q}", kind), func() float64 { return float64(d.outside.Store.Calls()[kind]) })
 	}
 }
--- a/entry/daemon/node.go
+++ b/entry/daemon/node.go
@@ -136,7 +136,7 @@
 // storeSource tells when the key-value service last answered. An instance that holds no
 // lease asks it for little, so that silence alone is no fault.
 func (n *node) storeSource(now time.Time) administration.Source {
-	heard, lost := n.d.storeContact.State()
+	heard, lost := n.d.outside.Contact.State()
 	s := source("store", "", heard, now)
 	s.Stale = lost
 	return s
--- a/entry/daemon/ready_test.go
+++ b/entry/daemon/ready_test.go
@@ -14,7 +14,8 @@
 func TestReadyOnceTheFleetIsKnown(t *testing.T) {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	d, err := New(testSettings(t, "entry-1", "http://127.0.0.1:1"), log)
+	set := testSettings(t, "entry-1", "http://127.0.0.1:1")
+	d, err := New(set, Connect(set), log)
 	require.NoError(t, err)
 	now := time.Now()
 	require.False(t, d.fleetKnown(now.Add(time.Hour)), "no list was read")
