Reset connections of calls that were given up

Ruled out: the lease (the holder had stopped to act 4 s before), doubled tokens. Change: connections to platform and backend servers are reset when closed, so that what is held up is dropped.

--- a/serving/connection/upstream/upstream.go
+++ b/serving/connection/upstream/upstream.go
@@ -190,6 +190,12 @@
 		p.mu.Unlock()
 		return nil, errors.Wrap(err, "dial")
 	}
+	if tcp, ok := raw.(*net.TCPConn); ok {
+		// A request that was given up must not arrive when a cut heals: closing resets.
+		if err := tcp.SetLinger(0); err != nil {
+			return nil, errors.Wrap(err, "set linger")
+		}
+	}
 	return newConn(raw, owner), nil
 }
 
