Share the exchange loop, keep the configuration's limits of callers

Cause: the site and the daemon had one loop of exchanges each, and the limits of header bytes, header time and idle time in a configuration were decoded and not enforced (fixed constants were). Ruled out: changing fields of a running net/http server, which races. Change: package exchange with the loop for both; clock.Every and EveryOr; connections without a request are closed by the limits of the configuration in force, and a head that is too large is answered 431. A gauge counts dropped log lines; the role names its metrics. Test: TestLimitsOfCallers failed in its three parts before (200 for the large head, open for 5 s and for more than 8 s).

--- a/entry/daemon/capacity.go
+++ b/entry/daemon/capacity.go
@@ -7,6 +7,7 @@
 
 	"papayaport.dev/serving/connection/engine"
 	"papayaport.dev/serving/process/capacity"
+	"papayaport.dev/serving/process/clock"
 	"papayaport.dev/serving/process/platform"
 	"papayaport.dev/serving/version/service"
 )
@@ -27,7 +28,7 @@
 // Drain tells all entry instances that a backend server gets no new work.
 func (d *Daemon) Drain(stop capacity.PlannedStop, within time.Duration) {
 	d.notice(stop.Instance, stop.Incarnation, within)
-	d.applyChanges()
+	d.exchange.Deliver()
 }
 
 func (d *Daemon) joinCapacity() {
@@ -47,14 +48,14 @@
 	}
 	go d.runPrices(ctx)
 	go func() {
-		_ = every(ctx, capacityPeriod, func(_ context.Context, now time.Time) { d.feedCapacity(now) })
+		_ = clock.Every(ctx, capacityPeriod, func(_ context.Context, now time.Time) { d.feedCapacity(now) })
 	}()
 	return d.capacity.Run(ctx)
 }
 
 // runPrices reads the present prices while a plan of this failure domain is made here.
 func (d *Daemon) runPrices(ctx context.Context) {
-	_ = every(ctx, pricesPeriod, func(ctx context.Context, _ time.Time) {
+	_ = clock.Every(ctx, pricesPeriod, func(ctx context.Context, _ time.Time) {
 		ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 		defer cancel()
 		if !d.plansCapacity() {
--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -27,6 +27,7 @@
 	"papayaport.dev/serving/connection/plain"
 	"papayaport.dev/serving/connection/pool"
 	"papayaport.dev/serving/process/capacity"
+	"papayaport.dev/serving/process/exchange"
 	"papayaport.dev/serving/process/lease"
 	"papayaport.dev/serving/process/membership"
 	"papayaport.dev/serving/process/settings"
@@ -58,6 +59,7 @@
 	members   *membership.Table
 	traffic   *peer.Traffic
 	peers     *peer.Client
+	exchange  *exchange.Exchange
 	leases    *lease.Leases
 	keeper    *publication.Keeper
 	publisher *publication.Publisher
@@ -118,6 +120,9 @@
 	d.members = membership.New(d.self(), d.set.SeedPeers, d.seeded(), membership.DefaultBudget)
 	d.traffic = &peer.Traffic{}
 	d.peers = peer.New(d.peerOptions())
+	d.exchange = exchange.New(exchange.Parts{
+		Members: d.members, Peers: d.peers, Tell: d.publishLocal, Apply: d.applyChange, Log: d.entry("exchange"),
+	})
 	holder := d.set.Instance + "/" + formatIncarnation(d.set.Incarnation)
 	d.leases = lease.New(d.outside.Store, holder, d.wantedLeases, d.leaseRank, lease.DefaultTTL, time.Now, d.seeded())
 }
@@ -198,7 +203,7 @@
 func (d *Daemon) loops(ctx context.Context, group *errgroup.Group) {
 	for _, loop := range []func(context.Context) error{
 		d.keeper.Run, d.actions.Run, d.leases.Run,
-		d.runExchange, d.runList, d.runNotices, d.runEngines, d.runTicks, d.runVersions, d.runCapacity,
+		d.exchange.Run, d.runList, d.runNotices, d.runEngines, d.runTicks, d.runVersions, d.runCapacity,
 	} {
 		group.Go(func() error { return ignoreEnd(ctx, loop(ctx)) })
 	}
--- a/entry/daemon/exchange.go
+++ b/entry/daemon/exchange.go
@@ -6,33 +6,15 @@
 	"time"
 
 	"papayaport.dev/entry/gateway"
+	"papayaport.dev/serving/process/clock"
 	"papayaport.dev/serving/process/lease"
 	"papayaport.dev/serving/process/membership"
 	"papayaport.dev/serving/version/service"
 )
 
-const (
-	// localPeriod is the time between two updates of what this instance tells of itself.
-	localPeriod = 200 * time.Millisecond
-	// exchangeTimeout bounds one exchange with a peer.
-	exchangeTimeout = time.Second
-	// watchersPerDomain is the number of entry instances of a failure domain that watch
-	// the key-value service for new versions.
-	watchersPerDomain = 2
-)
-
-// runExchange exchanges membership messages with peers.
-func (d *Daemon) runExchange(ctx context.Context) error {
-	told := time.Time{}
-	return every(ctx, membership.TickPeriod, func(_ context.Context, now time.Time) {
-		if now.Sub(told) >= localPeriod {
-			told = now
-			d.publishLocal(now)
-		}
-		d.send(d.members.Tick(now))
-		d.applyChanges()
-	})
-}
+// watchersPerDomain is the number of entry instances of a failure domain that watch
+// the key-value service for new versions.
+const watchersPerDomain = 2
 
 func (d *Daemon) publishLocal(now time.Time) {
 	head := d.keeper.HeadOf()
@@ -46,34 +28,13 @@
 	d.admission.Peers(now, totals)
 }
 
-// send carries exchanges out, each by itself, so that a silent peer holds up no other.
-func (d *Daemon) send(exchanges []membership.Exchange) {
-	for _, exchange := range exchanges {
-		go d.exchange(exchange)
-	}
-}
-
-func (d *Daemon) exchange(exchange membership.Exchange) {
-	ctx, cancel := context.WithTimeout(context.Background(), exchangeTimeout)
-	defer cancel()
-	reply, err := d.peers.Exchange(ctx, exchange.Address, exchange.Message)
-	if err != nil {
-		d.members.Failed(time.Now(), exchange.Address)
-		return
-	}
-	d.members.Receive(time.Now(), reply)
-	d.applyChanges()
-}
-
-// applyChanges acts on what was heard from peers and platform.
-func (d *Daemon) applyChanges() {
-	for _, change := range d.members.Changes() {
-		switch heard := change.(type) {
-		case membership.LeavingHeard:
-			d.applyLeaving(heard.Leaving)
-		case membership.ConfigHeard:
-			d.keeper.Offer(heard.Config.Address, heard.Config.Version, heard.Config.ManifestHash)
-		}
+// applyChange acts on what was heard from peers and platform.
+func (d *Daemon) applyChange(change membership.Change) {
+	switch heard := change.(type) {
+	case membership.LeavingHeard:
+		d.applyLeaving(heard.Leaving)
+	case membership.ConfigHeard:
+		d.keeper.Offer(heard.Config.Address, heard.Config.Version, heard.Config.ManifestHash)
 	}
 }
 
@@ -133,7 +94,7 @@
 
 // runTicks lets queued requests go on.
 func (d *Daemon) runTicks(ctx context.Context) error {
-	return every(ctx, gateway.TickPeriod, func(_ context.Context, now time.Time) { d.gateway.Tick(now) })
+	return clock.Every(ctx, gateway.TickPeriod, func(_ context.Context, now time.Time) { d.gateway.Tick(now) })
 }
 
 // runVersions puts each new version into force in the tables.
--- a/entry/daemon/fleet.go
+++ b/entry/daemon/fleet.go
@@ -91,23 +91,9 @@
 	return f.instances[i], true
 }
 
-// every calls step at once and then with a period, until ctx ends.
-func every(ctx context.Context, period time.Duration, step func(ctx context.Context, now time.Time)) error {
-	ticker := time.NewTicker(period)
-	defer ticker.Stop()
-	for {
-		step(ctx, time.Now())
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-	}
-}
-
 // runList reads the instance list.
 func (d *Daemon) runList(ctx context.Context) error {
-	return every(ctx, listPeriod, func(ctx context.Context, _ time.Time) {
+	return clock.Every(ctx, listPeriod, func(ctx context.Context, _ time.Time) {
 		ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 		defer cancel()
 		list, err := d.outside.Instances.List(ctx)
@@ -131,7 +117,7 @@
 			d.notice(inst.ID, inst.Incarnation, time.Duration(inst.LeaveInMS)*time.Millisecond)
 		}
 	}
-	d.applyChanges()
+	d.exchange.Deliver()
 }
 
 func (d *Daemon) applyBackends(now time.Time, list []platform.Instance) {
@@ -180,7 +166,7 @@
 		for _, notice := range notices.Notices {
 			d.notice(notice.Instance, notice.Incarnation, time.Duration(notice.LeaveInMS)*time.Millisecond)
 		}
-		d.applyChanges()
+		d.exchange.Deliver()
 	}
 	return ctx.Err()
 }
@@ -189,13 +175,13 @@
 func (d *Daemon) notice(id string, incarnation uint64, left time.Duration) {
 	now := time.Now()
 	leaving := membership.Leaving{Instance: id, Incarnation: incarnation, Deadline: now.Add(left)}
-	d.send(d.members.Notice(now, leaving))
+	d.exchange.Notice(now, leaving)
 }
 
 // runEngines looks at the engines in turn: their load, their cache and whether they leave.
 func (d *Daemon) runEngines(ctx context.Context) error {
 	next := map[string]time.Time{}
-	return every(ctx, enginePeriod/4, func(ctx context.Context, now time.Time) {
+	return clock.Every(ctx, enginePeriod/4, func(ctx context.Context, now time.Time) {
 		engines := d.engines()
 		period := max(enginePeriod, time.Duration(len(engines))*time.Second/enginesPerSecond)
 		group, ctx := errgroup.WithContext(ctx)
@@ -239,7 +225,7 @@
 	d.routes.Report(now, inst.ID, load)
 	if load.Leaving {
 		d.notice(inst.ID, max(load.Incarnation, inst.Incarnation), time.Duration(load.LeaveInMS)*time.Millisecond)
-		d.applyChanges()
+		d.exchange.Deliver()
 	}
 	after, snapshot := d.routes.CacheCursor(inst.ID)
 	events, err := client.Events(ctx, after, snapshot)
--- a/entry/daemon/node.go
+++ b/entry/daemon/node.go
@@ -54,7 +54,7 @@
 		return problem.New(problem.BadRequest, "no backend server %q in the instance list", id)
 	}
 	n.d.notice(inst.ID, inst.Incarnation, drainTime)
-	n.d.applyChanges()
+	n.d.exchange.Deliver()
 	return nil
 }
 
--- a/entry/daemon/peers.go
+++ b/entry/daemon/peers.go
@@ -157,9 +157,7 @@
 
 // Exchange takes in a membership message.
 func (h *handler) Exchange(_ context.Context, message membership.Message) (membership.Message, error) {
-	reply := h.d.members.Receive(time.Now(), message)
-	h.d.applyChanges()
-	return reply, nil
+	return h.d.exchange.Receive(time.Now(), message), nil
 }
 
 // Head gives the head of the version in force.
--- a/entry/daemon/stop.go
+++ b/entry/daemon/stop.go
@@ -45,8 +45,7 @@
 	case drain.Unready:
 		d.gateway.Drain(true)
 		now := time.Now()
-		d.publishLocal(now)
-		d.send(d.members.Tick(now))
+		d.exchange.TellNow(now)
 	case drain.CloseIdle:
 		s.callers.SetKeepAlivesEnabled(false)
 	case drain.HandOver:
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -218,6 +218,9 @@
 	call.received = run.received
 	run.call = &call
 	version := r.Versions.Current()
+	if version != nil && version.Limits.HeaderBytes > 0 && headBytes(request) > version.Limits.HeaderBytes {
+		return problem.New(problem.HeaderTooLarge, "the head is over %d bytes", version.Limits.HeaderBytes)
+	}
 	limit := int64(usualBodyBytes)
 	if version != nil && version.Limits.BodyBytes > 0 {
 		limit = version.Limits.BodyBytes
@@ -234,6 +237,20 @@
 	return run.match(version)
 }
 
+// headBytes returns the size of a request's head as it is sent in HTTP/1.1, within a few
+// bytes.
+func headBytes(request *http.Request) int {
+	const separators = len(": \r\n")
+	size := len(request.Method) + len(request.RequestURI) + len(request.Proto) + separators +
+		len("Host") + len(request.Host) + separators
+	for name, values := range request.Header {
+		for _, value := range values {
+			size += len(name) + len(value) + separators
+		}
+	}
+	return size
+}
+
 func (r *Relay) readBody(w http.ResponseWriter, request *http.Request, run *run, limit int64) error {
 	if request.Body == nil || request.ContentLength == 0 {
 		return nil
--- a/entry/site/backends.go
+++ b/entry/site/backends.go
@@ -6,6 +6,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"papayaport.dev/serving/process/clock"
 	"papayaport.dev/serving/process/directory"
 	"papayaport.dev/serving/process/membership"
 	"papayaport.dev/serving/request/route"
@@ -36,7 +37,7 @@
 func (s *Site) runView(ctx context.Context) error {
 	table := directory.New(directory.DefaultReturn)
 	period := time.Duration(viewShare * float64(milliseconds(s.set.LeavingMS)))
-	return everyOr(ctx, period, min(viewRetry, period), func(ctx context.Context) bool {
+	return clock.EveryOr(ctx, period, min(viewRetry, period), func(ctx context.Context) bool {
 		begun := time.Now()
 		limited, cancel := context.WithTimeout(ctx, viewTimeout)
 		defer cancel()
@@ -84,11 +85,11 @@
 		if left <= 0 {
 			left = usualLeaving
 		}
-		s.send(s.members.Notice(now, membership.Leaving{
+		s.exchange.Notice(now, membership.Leaving{
 			Instance: server.ID, Incarnation: server.Incarnation, Deadline: now.Add(left),
-		}))
+		})
 	}
-	s.applyChanges()
+	s.exchange.Deliver()
 	s.mu.Lock()
 	s.servers = servers
 	s.mu.Unlock()
--- a/entry/site/borrow.go
+++ b/entry/site/borrow.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"papayaport.dev/serving/process/clock"
 	"papayaport.dev/serving/request/admission"
 )
 
@@ -20,8 +21,8 @@
 
 // runBorrow pays the debts of client accounts from the parts of other entry instances.
 func (s *Site) runBorrow(ctx context.Context) error {
-	return every(ctx, borrowPeriod, func(ctx context.Context) {
-		for _, debt := range s.admission.Debts(time.Now()) {
+	return clock.Every(ctx, borrowPeriod, func(ctx context.Context, now time.Time) {
+		for _, debt := range s.admission.Debts(now) {
 			s.pay(ctx, debt)
 		}
 	})
--- /dev/null
+++ b/entry/site/callers.go
@@ -0,0 +1,75 @@
+package site
+
+import (
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"papayaport.dev/serving/version/deployment"
+)
+
+// callers holds the callers' connections that have no request, for limits that change
+// with the configuration; those of a net/http server are fixed when it starts.
+type callers struct {
+	mu sync.Mutex
+	// since is when each connection was opened or answered last.
+	since map[net.Conn]unused
+}
+
+type unused struct {
+	at time.Time
+	// isNew tells that the connection never had a request.
+	isNew bool
+}
+
+// note is the ConnState hook of the callers' server.
+func (c *callers) note(conn net.Conn, state http.ConnState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if state != http.StateNew && state != http.StateIdle {
+		delete(c.since, conn)
+		return
+	}
+	if c.since == nil {
+		c.since = map[net.Conn]unused{}
+	}
+	c.since[conn] = unused{at: time.Now(), isNew: state == http.StateNew}
+}
+
+// overdue returns the connections that stayed without a whole head of a request for longer
+// than allowed. One that was used before may begin a head at the end of its idle time, and
+// has the time for a head on top.
+func (c *callers) overdue(now time.Time, limits deployment.Limits) []net.Conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var conns []net.Conn
+	for conn, since := range c.since {
+		limit := limits.HeaderTimeout
+		if !since.isNew && limits.IdleTimeout > 0 {
+			limit += limits.IdleTimeout
+		} else if !since.isNew {
+			limit = 0
+		}
+		if limit > 0 && now.Sub(since.at) > limit {
+			delete(c.since, conn)
+			conns = append(conns, conn)
+		}
+	}
+	return conns
+}
+
+// closeOverdue closes connections that pass the limits of the configuration in force.
+func (s *Site) closeOverdue(now time.Time) {
+	version := s.keeper.Current()
+	if version == nil {
+		return
+	}
+	conns := s.callers.overdue(now, version.Limits)
+	for _, conn := range conns {
+		if err := conn.Close(); err != nil {
+			s.part("site").WithError(err).Debug("site: connection of a caller not closed")
+		}
+	}
+	s.overdue.Add(len(conns))
+}
--- a/entry/site/duties.go
+++ b/entry/site/duties.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"papayaport.dev/serving/process/clock"
 	"papayaport.dev/serving/process/platform/store"
 	"papayaport.dev/serving/process/usage"
 )
@@ -38,7 +39,7 @@
 // runDuties does what one entry instance does for all, while it holds the lease.
 func (s *Site) runDuties(ctx context.Context) error {
 	var d duty
-	return every(ctx, dutyPeriod, func(ctx context.Context) {
+	return clock.Every(ctx, dutyPeriod, func(ctx context.Context, _ time.Time) {
 		fencing, held := s.leases.Held(dutyLease)
 		if !held || s.relay.Draining() {
 			return
--- a/entry/site/exchange.go
+++ b/entry/site/exchange.go
@@ -10,13 +10,6 @@
 	"papayaport.dev/serving/process/membership"
 )
 
-const (
-	// tellPeriod is the time between two updates of what this instance tells of itself.
-	tellPeriod = 200 * time.Millisecond
-	// exchangeTimeout bounds one exchange with a peer.
-	exchangeTimeout = time.Second
-)
-
 func (s *Site) self() membership.Member {
 	return membership.Member{
 		Instance: s.set.Instance, Incarnation: s.incarnation(), Region: s.set.Region,
@@ -24,20 +17,6 @@
 	}
 }
 
-// runExchange exchanges membership messages with peers.
-func (s *Site) runExchange(ctx context.Context) error {
-	told := time.Time{}
-	return every(ctx, membership.TickPeriod, func(context.Context) {
-		now := time.Now()
-		if now.Sub(told) >= tellPeriod {
-			told = now
-			s.tellPeers(now)
-		}
-		s.send(s.members.Tick(now))
-		s.applyChanges()
-	})
-}
-
 // tellPeers updates what peers hear from this instance, and takes in what they told.
 func (s *Site) tellPeers(now time.Time) {
 	local := membership.Local{
@@ -53,35 +32,15 @@
 	s.admission.Peers(now, totals)
 }
 
-// send carries exchanges out, each by itself, so that a silent peer holds up no other.
-func (s *Site) send(exchanges []membership.Exchange) {
-	for _, exchange := range exchanges {
-		go func() {
-			ctx, cancel := context.WithTimeout(context.Background(), exchangeTimeout)
-			defer cancel()
-			reply, err := s.peers.Exchange(ctx, exchange.Address, exchange.Message)
-			if err != nil {
-				s.part("exchange").WithError(err).Debug("exchange: peer not reached")
-				s.members.Failed(time.Now(), exchange.Address)
-				return
-			}
-			s.members.Receive(time.Now(), reply)
-			s.applyChanges()
-		}()
-	}
-}
-
-// applyChanges acts on what was heard from peers and directory.
-func (s *Site) applyChanges() {
-	for _, change := range s.members.Changes() {
-		switch heard := change.(type) {
-		case membership.LeavingHeard:
-			l := heard.Leaving
-			s.routes.Leaving(time.Now(), l.Instance, l.Incarnation, l.Deadline)
-		case membership.ConfigHeard:
-			if heard.Config.Address != s.set.Peers {
-				go s.fetch(heard.Config.Address)
-			}
+// applyChange acts on what was heard from peers and directory.
+func (s *Site) applyChange(change membership.Change) {
+	switch heard := change.(type) {
+	case membership.LeavingHeard:
+		l := heard.Leaving
+		s.routes.Leaving(time.Now(), l.Instance, l.Incarnation, l.Deadline)
+	case membership.ConfigHeard:
+		if heard.Config.Address != s.set.Peers {
+			go s.fetch(heard.Config.Address)
 		}
 	}
 }
@@ -92,9 +51,7 @@
 
 // Exchange takes in a membership message.
 func (h *handler) Exchange(_ context.Context, message membership.Message) (membership.Message, error) {
-	reply := h.s.members.Receive(time.Now(), message)
-	h.s.applyChanges()
-	return reply, nil
+	return h.s.exchange.Receive(time.Now(), message), nil
 }
 
 // Head gives the configuration in force as it was read.
--- a/entry/site/record.go
+++ b/entry/site/record.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"papayaport.dev/serving/process/clock"
 	"papayaport.dev/serving/process/platform"
 	"papayaport.dev/serving/process/platform/store"
 	"papayaport.dev/serving/process/usage"
@@ -47,8 +48,7 @@
 
 // runRecord keeps this instance's record in the store, and finds the others.
 func (s *Site) runRecord(ctx context.Context) error {
-	return every(ctx, recordPeriod, func(ctx context.Context) {
-		now := time.Now()
+	return clock.Every(ctx, recordPeriod, func(ctx context.Context, now time.Time) {
 		if !s.record.loaded {
 			s.loadRecord(ctx)
 		}
--- a/entry/site/serve.go
+++ b/entry/site/serve.go
@@ -19,13 +19,13 @@
 )
 
 const (
-	// headerTimeout bounds the time in which a caller sends a request's head, and
-	// idleTimeout how long an unused connection of a caller is kept. Both are longer than
-	// what configurations promise to callers, which are 3 s and 15 s today.
-	headerTimeout = 5 * time.Second
-	idleTimeout   = 40 * time.Second
-	// headerBytes bounds a request's head.
-	headerBytes = 64 << 10
+	// headerTimeout bounds the time in which the head of a request is sent, and idleTimeout
+	// how long an unused connection is kept, while no configuration says less. Both are
+	// several times what today's configurations promise to callers, 3 s and 15 s.
+	headerTimeout = 15 * time.Second
+	idleTimeout   = 2 * time.Minute
+	// headerBytes bounds the head of a request in any configuration.
+	headerBytes = 256 << 10
 	// stopPeriod is the time between two steps of a stop.
 	stopPeriod = 50 * time.Millisecond
 	// settleTime is how long a leaving instance accepts new connections: the balancer asks
@@ -54,6 +54,7 @@
 		return err
 	})
 	l := &listeners{callers: newServer(s.relay), ready: newServer(http.HandlerFunc(s.answerReady))}
+	l.callers.ConnState = s.callers.note
 	if err := serve(group, l.callers, s.set.Callers); err != nil {
 		return nil, err
 	}
@@ -122,6 +123,7 @@
 	gauge := func(name string, read func() float64) { s.meters.NewGauge("papayaport_"+name, read) }
 	gauge("in_flight", func() float64 { return float64(s.relay.InFlight()) })
 	gauge("entries", func() float64 { return float64(s.entries()) })
+	gauge("log_lines_dropped_total", func() float64 { return float64(s.lines.Dropped()) })
 	gauge("backend_servers", func() float64 { return float64(len(s.backends())) })
 	gauge("config_version", func() float64 {
 		if version := s.keeper.Current(); version != nil {
@@ -154,8 +156,7 @@
 	switch order {
 	case drain.Unready:
 		s.relay.Drain(time.Now().Add(settleTime), deadline.Add(-drain.CutLead-answerMargin))
-		s.tellPeers(time.Now())
-		s.send(s.members.Tick(time.Now()))
+		s.exchange.TellNow(time.Now())
 	case drain.CloseIdle:
 		l.callers.SetKeepAlivesEnabled(false)
 	case drain.HandOver:
--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -7,7 +7,7 @@
 //
 // # Usage
 //
-//	s, err := site.New(settings, site.Platform{...}, log)
+//	s, err := site.New(settings, site.Platform{...}, log, lines)
 //	err = s.Run(ctx) // until ctx ends, and then until all requests are answered
 package site
 
@@ -30,6 +30,7 @@
 	"papayaport.dev/serving/connection/upstream"
 	"papayaport.dev/serving/process/clock"
 	"papayaport.dev/serving/process/directory"
+	"papayaport.dev/serving/process/exchange"
 	"papayaport.dev/serving/process/lease"
 	"papayaport.dev/serving/process/membership"
 	"papayaport.dev/serving/process/platform"
@@ -95,6 +96,9 @@
 	EchoHeader string
 }
 
+// Lines counts the log lines that were dropped for want of room.
+type Lines interface{ Dropped() int64 }
+
 // dialTimeout bounds the set-up of a connection to a backend server: within a region a
 // live one answers in milliseconds, and a lost packet is sent again after a second.
 const dialTimeout = 1200 * time.Millisecond
@@ -119,6 +123,7 @@
 	usage     *usage.Counter
 	members   *membership.Table
 	peers     *peer.Client
+	exchange  *exchange.Exchange
 	leases    *lease.Leases
 
 	// mu guards servers, records and listed. Nothing is locked under it.
@@ -135,11 +140,14 @@
 	contacts   contacts
 	debts      debtors
 	unreached  unreached
+	callers    callers
+	overdue    *metrics.Counter
+	lines      Lines
 }
 
 // New joins the parts of an entry instance. Nothing runs yet.
-func New(set Settings, p Platform, log *logrus.Logger) (*Site, error) {
-	s := &Site{set: set, platform: p, log: log, started: time.Now(), meters: metrics.NewSet(), listed: 1, planner: sizing.New()}
+func New(set Settings, p Platform, log *logrus.Logger, lines Lines) (*Site, error) {
+	s := &Site{set: set, platform: p, log: log, lines: lines, started: time.Now(), meters: metrics.NewSet(), listed: 1, planner: sizing.New()}
 	random := rand.New(rand.NewPCG(uint64(s.started.UnixNano()), 1))
 	seeded := func() *rand.Rand { return rand.New(rand.NewPCG(random.Uint64(), random.Uint64())) }
 	var err error
@@ -156,12 +164,16 @@
 	s.usage = usage.New(seconds(set.Usage.WindowS))
 	s.members = membership.New(s.self(), set.SeedPeers, seeded(), membership.DefaultBudget)
 	s.peers = peer.New(peer.DefaultOptions())
+	s.exchange = exchange.New(exchange.Parts{
+		Members: s.members, Peers: s.peers, Tell: s.tellPeers, Apply: s.applyChange, Log: s.part("exchange"),
+	})
 	s.leases = lease.New(lapsing{p.Store}, set.Instance+"/"+formatIncarnation(s.incarnation()), s.wantedLeases, s.leaseRank,
 		s.leaseTTL(), clock.Boot, seeded())
 	s.relay = relay.New(relay.Parts{
 		Versions: &s.keeper, Routes: s.routes, Limiter: s, Budget: s.budget, Pool: s.pool, Usage: s.usage,
 		Codec: p.Codec, Meters: relay.NewMeters(s.meters), Entries: s.entries, Draw: rand.Float64, Log: s.part("relay"),
 	})
+	s.overdue = s.meters.NewCounter("papayaport_caller_connections_overdue_total")
 	s.registerGauges()
 	return s, nil
 }
@@ -187,7 +199,7 @@
 		return err
 	}
 	for _, loop := range []func(context.Context) error{
-		s.runView, s.runExchange, s.runRecord, s.leases.Run, s.runDuties, s.runTicks, s.runBorrow,
+		s.runView, s.exchange.Run, s.runRecord, s.leases.Run, s.runDuties, s.runTicks, s.runBorrow,
 	} {
 		group.Go(func() error {
 			err := loop(running)
@@ -214,35 +226,11 @@
 	return err
 }
 
-// every calls step at once and then with a period, until ctx ends.
-func every(ctx context.Context, period time.Duration, step func(ctx context.Context)) error {
-	for {
-		step(ctx)
-		if err := clock.Sleep(ctx, period); err != nil {
-			return err
-		}
-	}
-}
-
-// everyOr is every with another period after a step that failed.
-func everyOr(ctx context.Context, period, retry time.Duration, step func(ctx context.Context) bool) error {
-	for {
-		wait := period
-		if !step(ctx) {
-			wait = retry
-		}
-		if err := clock.Sleep(ctx, wait); err != nil {
-			return err
-		}
-	}
-}
-
 // tickPeriod is the time between two looks at unused connections and waiting requests.
 const tickPeriod = 250 * time.Millisecond
 
 func (s *Site) runTicks(ctx context.Context) error {
-	return every(ctx, tickPeriod, func(context.Context) {
-		now := time.Now()
+	return clock.Every(ctx, tickPeriod, func(_ context.Context, now time.Time) {
 		listed := map[string]bool{}
 		for _, server := range s.backends() {
 			listed[server.ID] = true
@@ -251,6 +239,7 @@
 		s.admission.Tick(now)
 		s.kept.Tick(now)
 		s.budget.SetEntries(s.entries())
+		s.closeOverdue(now)
 	})
 }
 
--- a/serving/process/clock/clock.go
+++ b/serving/process/clock/clock.go
@@ -23,3 +23,31 @@
 		return context.Cause(ctx)
 	}
 }
+
+// Every calls step at once and then with a period, until ctx ends, and returns its cause.
+func Every(ctx context.Context, period time.Duration, step func(ctx context.Context, now time.Time)) error {
+	ticker := time.NewTicker(period)
+	defer ticker.Stop()
+	for {
+		step(ctx, time.Now())
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		}
+	}
+}
+
+// EveryOr calls step at once and then with a period, or with another one after a step that
+// returned false, until ctx ends, and returns its cause.
+func EveryOr(ctx context.Context, period, retry time.Duration, step func(ctx context.Context) bool) error {
+	for {
+		wait := period
+		if !step(ctx) {
+			wait = retry
+		}
+		if err := Sleep(ctx, wait); err != nil {
+			return err
+		}
+	}
+}
