Finish requests that arrive at the very end of a planned stop

Change: the end of a stop shuts the listener down first and waits for what had come, until the grace is over.

--- a/entry/site/serve.go
+++ b/entry/site/serve.go
@@ -99,6 +99,17 @@
 	}
 }
 
+// finishServer closes a listener, lets the requests that came before go on until the
+// deadline, and then closes all connections.
+func finishServer(log *logrus.Entry, server *http.Server, deadline time.Time) {
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil {
+		log.WithError(err).Warn("site: requests cut at the end of the grace")
+	}
+	closeServer(log, server)
+}
+
 // ready tells whether the instance takes requests. Once it had a configuration and
 // backend servers it stays ready in every outage.
 func (s *Site) ready() bool {
@@ -161,7 +172,10 @@
 		l.callers.SetKeepAlivesEnabled(false)
 	case drain.HandOver:
 		// Opaque requests end here; no other instance could go on with them.
-	case drain.Cut, drain.End:
+	case drain.End:
+		finishServer(log, l.callers, deadline)
+		closeServer(log, l.ready)
+	case drain.Cut:
 		closeServer(log, l.callers)
 		closeServer(log, l.ready)
 	}
