Add a fault soak of real processes

A seed draws entry instances, backend servers, callers and faults: processes killed, paused, stopped and started; links delayed, reset, cut one way and silenced by a loopback proxy; the store down, slow, answering from the past and losing answers; backend servers that end, leave and misbehave; configurations in series. Verdicts are pure and judge only what callers, backend servers and the cloud API saw. The product gains advertised_peers, the address at which peers reach an instance that listens at another. The stand-in's backend servers queue and tell their true load.

--- a/Makefile
+++ b/Makefile
@@ -3,11 +3,13 @@
 #   test     all tests, with the race detector
 #   demo     the whole system on stand-ins, serving requests of every kind
 #   measure  the comparisons of routing policies
+#   soak     one short seeded run of faults against real processes
+#   regressions  the soak's seeds that ever failed
 #   fuzz     the stateful fuzz tests with many more steps
 #   bench    the benchmarks
 #   lint     formatter and linters
 GO ?= go
-MODULES := serving entry ctl platform standin
+MODULES := serving entry ctl platform standin soak
 PACKAGES := $(MODULES:%=./%/...)
 # STATEFUL are the packages with stateful fuzz tests; only they know the flags of rapid.
 STATEFUL := $(sort $(dir $(shell grep -rl --include='*_test.go' 'pgregory.net/rapid"' $(MODULES))))
@@ -23,7 +25,7 @@
 # SITE_BUILD is the build line of deploy/system.toml, which links the C library.
 SITE_BUILD = $(shell sed -n 's/^build = "\(.*\)"$$/\1/p' deploy/system.toml)
 
-.PHONY: all build test demo measure fuzz bench lint tools
+.PHONY: all build test demo soak regressions measure fuzz bench lint tools
 
 all: build
 
@@ -32,6 +34,7 @@
 	$(GO) build -o bin/papayactl ./ctl
 	$(GO) build -o bin/standin ./standin
 	$(SITE_BUILD)
+	$(GO) build -o bin/soak ./soak
 
 test: build
 	$(GO) test -race -timeout 600s $(STATEFUL:%=./%) -rapid.seed=$(SEED) -rapid.nofailfile
@@ -41,6 +44,13 @@
 demo: build
 	bin/standin demo --bin bin
 
+soak: build
+	bin/soak run --seed $(SEED) --size short
+
+# regressions plays the seeds that ever failed; it takes a quarter of a minute for each.
+regressions: build
+	bin/soak regressions
+
 measure: build
 	bin/standin measure --bin bin
 
--- a/entry/site/exchange.go
+++ b/entry/site/exchange.go
@@ -13,7 +13,7 @@
 func (s *Site) self() membership.Member {
 	return membership.Member{
 		Instance: s.set.Instance, Incarnation: s.incarnation(), Region: s.set.Region,
-		FailureDomain: s.set.FailureDomain, PeerAddress: s.set.Peers, CallerAddress: s.set.Callers,
+		FailureDomain: s.set.FailureDomain, PeerAddress: s.set.AdvertisedPeers, CallerAddress: s.set.Callers,
 	}
 }
 
@@ -39,7 +39,7 @@
 		l := heard.Leaving
 		s.routes.Leaving(time.Now(), l.Instance, l.Incarnation, l.Deadline)
 	case membership.ConfigHeard:
-		if heard.Config.Address != s.set.Peers {
+		if heard.Config.Address != s.set.AdvertisedPeers {
 			go s.fetch(heard.Config.Address)
 		}
 	}
--- a/entry/site/limits.go
+++ b/entry/site/limits.go
@@ -80,7 +80,7 @@
 // instance falls back to its own part.
 func (s *Site) askKeepers(ctx context.Context, ask admission.Ask) (answered bool, err error) {
 	for _, keeper := range s.keepersOf(ask.Account) {
-		if keeper.PeerAddress == s.set.Peers {
+		if keeper.PeerAddress == s.set.AdvertisedPeers {
 			if refusal := charge(s.kept, ask); refusal != nil {
 				return true, refusal
 			}
--- a/entry/site/record.go
+++ b/entry/site/record.go
@@ -99,7 +99,7 @@
 	defer cancel()
 	value, err := json.Marshal(record{
 		Incarnation: s.incarnation(), Region: s.set.Region, FailureDomain: s.set.FailureDomain,
-		PeerAddress: s.set.Peers, CallerAddress: s.set.Callers, Usage: s.record.usage,
+		PeerAddress: s.set.AdvertisedPeers, CallerAddress: s.set.Callers, Usage: s.record.usage,
 		InFlight: s.inFlight(), TokensPerSecond: s.tokensPerSecond(time.Now()),
 	})
 	if err != nil {
--- a/entry/site/settings.go
+++ b/entry/site/settings.go
@@ -26,6 +26,9 @@
 	Ready   string `json:"ready"`
 	Peers   string `json:"peers"`
 	Metrics string `json:"metrics,omitempty"`
+	// AdvertisedPeers is the address "IP:PORT" at which peers reach this instance, Peers
+	// when empty.
+	AdvertisedPeers string `json:"advertised_peers,omitempty"`
 
 	// SeedPeers are peer addresses to ask first.
 	SeedPeers []string `json:"seed_peers"`
@@ -107,6 +110,9 @@
 	if err := decoder.Decode(&set); err != nil {
 		return set, []string{fmt.Sprintf("%s: %v", file, err)}
 	}
+	if set.AdvertisedPeers == "" {
+		set.AdvertisedPeers = set.Peers
+	}
 	return set, set.faults(file)
 }
 
@@ -120,7 +126,7 @@
 			add(field, value, "a name")
 		}
 	}
-	for field, value := range map[string]string{"callers": s.Callers, "ready": s.Ready, "peers": s.Peers, "store": s.Store} {
+	for field, value := range map[string]string{"callers": s.Callers, "ready": s.Ready, "peers": s.Peers, "advertised_peers": s.AdvertisedPeers, "store": s.Store} {
 		if _, _, err := net.SplitHostPort(value); err != nil {
 			add(field, value, "IP:PORT")
 		}
--- /dev/null
+++ b/soak/main.go
@@ -0,0 +1,10 @@
+// Command soak plays seeded days of faults against real entry instances.
+package main
+
+import (
+	"os"
+
+	"papayaport.dev/soak/command"
+)
+
+func main() { os.Exit(command.Main(os.Args[1:], os.Stdout, os.Stderr)) }
--- /dev/null
+++ b/soak/world/inject.go
@@ -0,0 +1,265 @@
+package world
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"papayaport.dev/serving/process/clock"
+	"papayaport.dev/soak/link"
+	"papayaport.dev/soak/plan"
+	"papayaport.dev/soak/verdict"
+	"papayaport.dev/standin/outside"
+)
+
+// wrongs are the misbehaviours of backend servers.
+var wrongs = []outside.Misbehaviour{
+	outside.Refuse, outside.RunAndReset, outside.Truncate, outside.Twice, outside.Foreign,
+	outside.Nonsense, outside.Encoded, outside.Fail, outside.Hang,
+}
+
+// wrongTimes bounds the requests that one fault spoils.
+const wrongTimes = 40
+
+// publishGap is the time between configurations that follow each other.
+const publishGap = 100 * time.Millisecond
+
+// injectAll carries out the plan's faults, each at its time and by itself.
+func (w *World) injectAll(ctx context.Context) error {
+	begun := time.Now()
+	group, faulty := errgroup.WithContext(ctx)
+	for _, f := range w.plan.Faults {
+		group.Go(func() error {
+			if err := clock.Sleep(faulty, time.Until(begun.Add(f.At))); err != nil {
+				return err
+			}
+			in := &injected{Fault: f, Span: verdict.Span{From: time.Now()}}
+			w.mu.Lock()
+			w.faults = append(w.faults, in)
+			w.mu.Unlock()
+			err := w.inject(faulty, f)
+			w.mu.Lock()
+			in.To = time.Now()
+			w.mu.Unlock()
+			return errors.Wrapf(err, "%s", f.Kind)
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return err
+	}
+	return clock.Sleep(ctx, time.Until(begun.Add(w.plan.Length)))
+}
+
+// inject carries out one fault and heals it.
+func (w *World) inject(ctx context.Context, f plan.Fault) error {
+	hold := func() error { return clock.Sleep(ctx, f.For) }
+	during := func(begin, end func()) error {
+		begin()
+		defer end()
+		return hold()
+	}
+	switch f.Kind {
+	case plan.KillEntry, plan.PauseEntry, plan.StopEntry, plan.HangUpEntry:
+		return w.injectProcess(ctx, f, hold)
+	case plan.StoreLink, plan.CloudLink, plan.PeerLink, plan.BackendLink:
+		l := w.link(f)
+		return during(func() { l.Disturb(f.Way, plan.DelayOf(f)) }, l.Heal)
+	case plan.KillBackend, plan.DrainBackend:
+		return w.injectBackend(f, hold)
+	case plan.WrongBackend:
+		b := w.backend(f.Target)
+		return during(func() { b.Misbehave(wrongs[(f.Number+f.Target)%len(wrongs)], wrongTimes) }, func() { b.Misbehave(outside.Nothing, 0) })
+	case plan.StoreDown:
+		return during(func() { w.store.Down(true) }, func() { w.store.Down(false) })
+	case plan.StoreSlow:
+		return during(func() { w.store.Delay(plan.DelayOf(f)) }, func() { w.store.Delay(0) })
+	case plan.StorePast:
+		return during(func() { w.store.Past(true) }, func() { w.store.Past(false) })
+	case plan.StoreLoses:
+		w.store.LoseAnswers(f.Number)
+		return nil
+	case plan.Publish:
+		for range f.Number {
+			w.publish()
+			if err := clock.Sleep(ctx, publishGap); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+	return errors.Errorf("unknown kind")
+}
+
+func (w *World) injectProcess(ctx context.Context, f plan.Fault, hold func() error) error {
+	e := w.entries[f.Target]
+	switch f.Kind {
+	case plan.HangUpEntry:
+		return e.Signal(syscall.SIGHUP)
+	case plan.PauseEntry:
+		if err := e.Signal(syscall.SIGSTOP); err != nil {
+			return err
+		}
+		err := hold()
+		if contErr := e.Signal(syscall.SIGCONT); err == nil {
+			err = contErr
+		}
+		return err
+	}
+	if !w.claim(f.Target) {
+		return nil // another fault ends it already
+	}
+	defer w.release(f.Target)
+	if f.Kind == plan.StopEntry {
+		if err := w.stop(ctx, f.Target); err != nil {
+			return err
+		}
+		return e.Start()
+	}
+	if err := e.Signal(syscall.SIGKILL); err != nil {
+		return err
+	}
+	if err := e.Wait(ctx); err != nil {
+		return err
+	}
+	if err := hold(); err != nil {
+		return err
+	}
+	return e.Start()
+}
+
+func (w *World) injectBackend(f plan.Fault, hold func() error) error {
+	place := w.plan.Entries + f.Target // places of backend servers follow those of entries
+	if !w.claim(place) {
+		return nil
+	}
+	defer w.release(place)
+	b := w.backend(f.Target)
+	id := b.ID
+	if f.Kind == plan.DrainBackend {
+		w.mu.Lock()
+		w.record.Leaving = append(w.record.Leaving, verdict.Leaving{Server: b.label, At: time.Now()})
+		w.mu.Unlock()
+		b.Drain()
+		if err := hold(); err != nil {
+			return err
+		}
+		b.Stop()
+		w.store.Delete("servers/" + id)
+		id = fmt.Sprintf("%s-%d", id, b.life)
+		return w.startBackend(f.Target, id)
+	}
+	b.Stop()
+	if err := hold(); err != nil {
+		return err
+	}
+	return w.startBackend(f.Target, id)
+}
+
+// claim lets one fault at a time end and start a process. Claimed places are kept by the
+// number of entry instance, or behind those of backend server.
+func (w *World) claim(place int) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if slices.Contains(w.claimed, place) {
+		return false
+	}
+	w.claimed = append(w.claimed, place)
+	return true
+}
+
+func (w *World) release(place int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.claimed = slices.DeleteFunc(w.claimed, func(other int) bool { return other == place })
+}
+
+func (w *World) backend(place int) *backend {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.backends[place]
+}
+
+func (w *World) link(f plan.Fault) *link.Link {
+	switch f.Kind {
+	case plan.StoreLink:
+		return w.entries[f.Target].store
+	case plan.CloudLink:
+		return w.entries[f.Target].cloud
+	case plan.PeerLink:
+		return w.entries[f.Target].peers
+	}
+	return w.backend(f.Target).link
+}
+
+// blinding are faults that keep an entry instance from what the store holds.
+var blinding = []plan.Kind{plan.PauseEntry, plan.StoreLink, plan.StoreDown, plan.StoreSlow, plan.StorePast}
+
+// overlaps tells whether a fault, as far as it has come, overlaps a span.
+func (in *injected) overlaps(span verdict.Span) bool {
+	return in.From.Before(span.To) && (in.To.IsZero() || in.To.After(span.From))
+}
+
+// disturbed tells whether a fault held up one entry instance during a span.
+func (w *World) disturbed(number int, span verdict.Span) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.ContainsFunc(w.faults, func(in *injected) bool {
+		own := in.Target == number && slices.Contains([]plan.Kind{plan.PauseEntry, plan.KillEntry, plan.StoreLink, plan.PeerLink}, in.Kind)
+		all := slices.Contains([]plan.Kind{plan.StoreDown, plan.StoreSlow, plan.StorePast}, in.Kind)
+		return (own || all) && in.overlaps(span)
+	})
+}
+
+// backendsDisturbed tells whether a fault of a backend server may have cut answers.
+func (w *World) backendsDisturbed(span verdict.Span) bool {
+	span.From = span.From.Add(-cutLate)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.ContainsFunc(w.faults, func(in *injected) bool {
+		cutting := slices.Contains([]plan.Kind{plan.KillBackend, plan.DrainBackend, plan.WrongBackend, plan.BackendLink}, in.Kind)
+		return cutting && in.overlaps(span)
+	})
+}
+
+// cutLate is how long after a fault of a backend server an answer may still be lost by it.
+const cutLate = 2 * time.Second
+
+// snapshot returns what was seen so far.
+func (w *World) snapshot() verdict.Record {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	r := w.record
+	r.Answers = slices.Clone(r.Answers)
+	r.Probes, r.Leaving, r.Stops = slices.Clone(r.Probes), slices.Clone(r.Leaving), slices.Clone(r.Stops)
+	r.Cloud = w.cloud.Faults()
+	for _, in := range w.faults {
+		if slices.Contains(blinding, in.Kind) {
+			span := in.Span
+			if span.To.IsZero() {
+				span.To = time.Now()
+			}
+			r.Blind = append(r.Blind, span)
+		}
+	}
+	for _, b := range w.ever {
+		for _, run := range b.Runs() {
+			body := b.Body(run.ID)
+			if b.events > 0 {
+				body = ""
+				for number := 1; number <= b.events; number++ {
+					body += outside.Event(number)
+				}
+			}
+			r.Runs = append(r.Runs, verdict.Run{ID: run.ID, At: run.At, Server: b.label, Body: body, Seal: b.Seal(run.ID)})
+		}
+		for _, arrival := range b.Arrivals() {
+			r.Arrivals = append(r.Arrivals, verdict.Run{ID: arrival.ID, At: arrival.At, Server: b.label})
+		}
+	}
+	return r
+}
--- /dev/null
+++ b/soak/world/play.go
@@ -0,0 +1,295 @@
+package world
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"papayaport.dev/serving/process/clock"
+	"papayaport.dev/soak/caller"
+	"papayaport.dev/soak/verdict"
+)
+
+const (
+	// startTime is the time for all entry instances to become ready at first.
+	startTime = 10 * time.Second
+	// recoveryBound is the time after the last fault within which all requests are served,
+	// and recoveredRun how many in a row show that.
+	recoveryBound = 10 * time.Second
+	recoveredRun  = 20
+	// readyPeriod is the time between two looks of the balancer; two misses take an entry out.
+	readyPeriod  = 250 * time.Millisecond
+	readyTimeout = 500 * time.Millisecond
+	// probePeriod is the time between two looks at the version in force.
+	probePeriod = 150 * time.Millisecond
+	// judgePeriod is the time between two verdicts while a run goes on.
+	judgePeriod = 2 * time.Second
+	// think bounds the pause of a caller between two requests.
+	think = 40 * time.Millisecond
+	// stickyEvery is which part of the callers stays with one instance until it is gone.
+	stickyEvery = 3
+	// stopSlack is the time beyond the grace in which a process has to be gone.
+	stopSlack = 500 * time.Millisecond
+)
+
+// play runs callers and faults to the end of the plan, looks for recovery, and stops all.
+func (w *World) play(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	background, endBackground := context.WithCancel(ctx)
+	defer endBackground()
+	for number := range w.entries {
+		group.Go(func() error { return w.watchReady(background, number) })
+		group.Go(func() error { return w.probe(background, number) })
+	}
+	if err := w.untilReady(ctx, startTime); err != nil {
+		return errors.Wrap(err, "entry instances not ready at first")
+	}
+	for number := range w.plan.Callers {
+		group.Go(func() error { return w.call(background, number) })
+	}
+	group.Go(func() error { return w.judge(background) })
+	group.Go(func() error {
+		defer endBackground()
+		if err := w.injectAll(ctx); err != nil {
+			return err
+		}
+		if err := w.recover(ctx); err != nil {
+			return err
+		}
+		return w.stopAll(ctx)
+	})
+	return group.Wait()
+}
+
+// watchReady is the balancer's look at one entry instance.
+func (w *World) watchReady(ctx context.Context, number int) error {
+	client := &http.Client{Timeout: readyTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	misses := 0
+	for ctx.Err() == nil {
+		misses++
+		if response, err := client.Get("http://" + w.entries[number].Settings.Ready + "/api/readyz"); err == nil {
+			_ = response.Body.Close()
+			if response.StatusCode == http.StatusOK {
+				misses = 0
+			}
+		}
+		w.mu.Lock()
+		w.ready[number] = misses < 2
+		w.mu.Unlock()
+		if clock.Sleep(ctx, readyPeriod) != nil {
+			return nil
+		}
+	}
+	return nil
+}
+
+func (w *World) untilReady(ctx context.Context, within time.Duration) error {
+	time.Sleep(2 * readyPeriod) // the first look has been taken
+	for end := time.Now().Add(within); ; {
+		w.mu.Lock()
+		missing := -1
+		for number, ready := range w.ready {
+			if !ready {
+				missing = number
+			}
+		}
+		w.mu.Unlock()
+		if missing < 0 {
+			return nil
+		}
+		if time.Now().After(end) {
+			return errors.Errorf("entry %d not ready within %v", missing, within)
+		}
+		if err := clock.Sleep(ctx, readyPeriod); err != nil {
+			return err
+		}
+	}
+}
+
+// id returns the id of the next request.
+func (w *World) id() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.next++
+	return fmt.Sprintf("request-%d", w.next)
+}
+
+// pick returns a ready entry instance, or the one from before while a caller stays with it.
+func (w *World) pick(random *rand.Rand, stay int) (int, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if stay >= 0 {
+		return stay, true
+	}
+	var ready []int
+	for number, isReady := range w.ready {
+		if isReady {
+			ready = append(ready, number)
+		}
+	}
+	if len(ready) == 0 {
+		return 0, false
+	}
+	return ready[random.IntN(len(ready))], true
+}
+
+// call is one caller: a request, a pause, the next one.
+func (w *World) call(ctx context.Context, number int) error {
+	random := rand.New(rand.NewPCG(w.plan.Seed, uint64(100+number)))
+	c := caller.New()
+	defer c.Close()
+	stay := -1
+	for ctx.Err() == nil {
+		target, found := w.pick(random, stay)
+		if !found {
+			if clock.Sleep(ctx, readyPeriod) != nil {
+				return nil
+			}
+			continue
+		}
+		answer := c.Ask(context.WithoutCancel(ctx), caller.Request{
+			ID: w.id(), Entry: target, Address: w.entries[target].Settings.Callers, Kind: caller.Kinds[random.IntN(len(caller.Kinds))],
+		})
+		w.mu.Lock()
+		w.record.Answers = append(w.record.Answers, answer)
+		w.mu.Unlock()
+		stay = -1
+		if number%stickyEvery == 0 && !errors.Is(answer.Err, syscall.ECONNREFUSED) {
+			stay = target
+		}
+		if clock.Sleep(ctx, time.Duration(random.Float64()*float64(think))) != nil {
+			return nil
+		}
+	}
+	return nil
+}
+
+// probe asks one entry instance for the route of the newest version.
+func (w *World) probe(ctx context.Context, number int) error {
+	c := caller.New()
+	defer c.Close()
+	e := w.entries[number]
+	for ctx.Err() == nil {
+		if clock.Sleep(ctx, probePeriod) != nil {
+			return nil
+		}
+		w.mu.Lock()
+		probe := verdict.Probe{Entry: number, Version: w.version, Accepted: w.accepted}
+		w.mu.Unlock()
+		lives := e.Lives()
+		if len(lives) == 0 {
+			continue
+		}
+		probe.Life, probe.At = len(lives), time.Now()
+		if started := lives[len(lives)-1].Started; started.After(probe.Accepted) {
+			probe.Accepted = started
+		}
+		answer := c.Ask(context.WithoutCancel(ctx), caller.Request{
+			ID: w.id(), Entry: number, Address: e.Settings.Callers, Kind: caller.Safe, Path: "/" + versionRoute(probe.Version) + "/", Key: caller.FreeKey,
+		})
+		if answer.Err != nil || len(e.Lives()) != probe.Life {
+			continue
+		}
+		probe.Known = answer.Status != http.StatusNotFound
+		probe.Calm = !w.disturbed(number, verdict.Span{From: probe.Accepted, To: answer.Ended})
+		w.mu.Lock()
+		if answer.Status == http.StatusOK || answer.Status == http.StatusNotFound {
+			w.record.Probes = append(w.record.Probes, probe)
+		}
+		w.record.Answers = append(w.record.Answers, answer)
+		w.mu.Unlock()
+	}
+	return nil
+}
+
+// judge looks for broken promises while the run goes on.
+func (w *World) judge(ctx context.Context) error {
+	for {
+		if clock.Sleep(ctx, judgePeriod) != nil {
+			return nil
+		}
+		if found := verdict.Judge(w.snapshot()); len(found) > 0 {
+			return errors.Wrap(errEnded, "a promise broke")
+		}
+	}
+}
+
+// errEnded ends a run early; its verdict names what broke.
+var errEnded = broken("ended early")
+
+// recover checks that all entry instances serve every kind of request again.
+func (w *World) recover(ctx context.Context) error {
+	end := time.Now().Add(recoveryBound)
+	if err := w.untilReady(ctx, recoveryBound); err != nil {
+		return broken("recovery: %v", err)
+	}
+	for number, e := range w.entries {
+		c := caller.New()
+		for served := 0; served < recoveredRun; {
+			answer := c.Ask(ctx, caller.Request{
+				ID: w.id(), Entry: number, Address: e.Settings.Callers, Kind: caller.Kinds[served%len(caller.Kinds)], Key: caller.FreeKey,
+			})
+			w.mu.Lock()
+			w.record.Answers = append(w.record.Answers, answer)
+			w.mu.Unlock()
+			switch {
+			case answer.Err == nil && answer.Status == http.StatusOK:
+				served++
+			case time.Now().After(end):
+				c.Close()
+				return broken("recovery: entry %d answers %d, %v (%s, %s)", number, answer.Status, answer.Err, answer.ID, answer.Kind)
+			default:
+				served = 0
+				time.Sleep(think)
+			}
+		}
+		c.Close()
+	}
+	return nil
+}
+
+// stopAll stops all entry instances at once while callers go on.
+func (w *World) stopAll(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	for number := range w.entries {
+		group.Go(func() error { return w.stop(ctx, number) })
+	}
+	return group.Wait()
+}
+
+// stop stops one entry instance as planned, and checks that it ends in time and by itself.
+func (w *World) stop(ctx context.Context, number int) error {
+	e := w.entries[number]
+	begun := time.Now()
+	if err := e.Signal(syscall.SIGTERM); err != nil {
+		return err
+	}
+	limited, cancel := context.WithTimeout(ctx, graceS*time.Second+stopSlack)
+	defer cancel()
+	ended := e.Wait(limited)
+	span := verdict.Span{From: begun, To: time.Now()}
+	if w.disturbed(number, span) || w.backendsDisturbed(span) || ctx.Err() != nil {
+		// Held up or cut by another fault; SIGKILL is what the platform would send.
+		if err := e.Signal(syscall.SIGKILL); err != nil {
+			return err
+		}
+		return e.Wait(ctx)
+	}
+	if ended != nil {
+		return broken("planned stop: entry %d still runs after its grace", number)
+	}
+	lives := e.Lives()
+	if last := lives[len(lives)-1]; last.Err != nil && !last.Killed {
+		return broken("planned stop: entry %d ended with %v", number, last.Err)
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.record.Stops = append(w.record.Stops, verdict.Stop{Entry: number, Span: span})
+	return nil
+}
--- /dev/null
+++ b/soak/world/world.go
@@ -0,0 +1,346 @@
+// Package world plays a plan: it starts the stand-in of the platform and real entry
+// instances, lets callers send requests, injects the plan's faults, and judges what
+// callers, backend servers and the platform saw.
+//
+// # Usage
+//
+//	report, err := world.Play(ctx, world.Options{Program: "target/papayaport-site", Dir: dir}, plan.New(seed, plan.Usual))
+//
+// Lock order: World.mu before the locks of the stand-ins.
+package world
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"papayaport.dev/entry/site"
+	"papayaport.dev/soak/caller"
+	"papayaport.dev/soak/instance"
+	"papayaport.dev/soak/link"
+	"papayaport.dev/soak/plan"
+	"papayaport.dev/soak/verdict"
+	"papayaport.dev/standin/outside"
+)
+
+// Options says what is played and where its files go.
+type Options struct {
+	// Program is the entry instance's program, Dir an existing directory for logs.
+	Program, Dir string
+}
+
+// Report is the outcome of a run.
+type Report struct {
+	Seed       uint64   `json:"seed"`
+	Entries    int      `json:"entries"`
+	Backends   int      `json:"backends"`
+	Faults     int      `json:"faults"`
+	Requests   int      `json:"requests"`
+	Served     int      `json:"served"`
+	Probes     int      `json:"probes"`
+	Violations []string `json:"violations,omitempty"`
+}
+
+// What the entry instances are told; the shapes are those of the users' first sites.
+const (
+	graceS       = 6
+	memoryMB     = 284
+	leaseMS      = 1500
+	leavingMS    = 2000
+	usageWindowS = 2
+	retryRatio   = 0.2
+	retryWindowS = 10
+	allowance    = 56
+	quotaWindowS = 8
+	quotaOverrun = 0.1
+	// rate is the client account's limit in tokens a second, and quotaSlack the tolerance:
+	// four seconds of it, as at the users' sites.
+	rate       = 20_000
+	quotaSlack = 4 * rate
+	// keptFrom is the size of fleet with a keeper of limits in every second run.
+	keptFrom   = 3
+	neverKept  = 1000
+	mostSeeds  = 3
+	slots      = 16
+	queue      = 64
+	streamSize = 20
+)
+
+var zones = []string{"a", "b", "c"}
+
+// entry is an entry instance with the links around it.
+type entry struct {
+	*instance.Instance
+	store, cloud, peers *link.Link
+}
+
+// backend is a place of a backend server over its incarnations.
+type backend struct {
+	*outside.Backend
+	link *link.Link
+	// label names the incarnation.
+	label string
+	// events is 0 for a plain service.
+	events int
+	life   int
+}
+
+// World is one run.
+type World struct {
+	// life ends what the run starts, when the run ends.
+	life    context.Context
+	plan    plan.Plan
+	options Options
+	store   *outside.Store
+	cloud   *outside.Cloud
+	storeAt string
+	cloudAt string
+	entries []*entry
+
+	mu       sync.Mutex
+	random   *rand.Rand
+	backends []*backend
+	// ever are all incarnations of backend servers.
+	ever     []*backend
+	version  int
+	accepted time.Time
+	routes   []map[string]any
+	faults   []*injected
+	ready    []bool
+	// claimed are the places that a fault ends and starts.
+	claimed []int
+	next    int
+	record  verdict.Record
+}
+
+// injected is a fault with the times at which it really began and ended.
+type injected struct {
+	plan.Fault
+	verdict.Span
+}
+
+// Play plays a plan. The error tells that it could not be played, not that a promise broke.
+func Play(ctx context.Context, options Options, p plan.Plan) (Report, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	w := &World{
+		life: ctx, plan: p, options: options, store: outside.NewStore(), cloud: outside.NewCloud(),
+		random: rand.New(rand.NewPCG(p.Seed, 1)), ready: make([]bool, p.Entries),
+	}
+	w.record.Limit = verdict.Limit{Rate: rate, Burst: rate, Window: quotaWindowS * time.Second, Overrun: quotaOverrun, Slack: quotaSlack}
+	w.record.Budget = verdict.Budget{Ratio: retryRatio, Allowance: allowance, Window: retryWindowS * time.Second}
+	defer w.close()
+	if err := w.start(); err != nil {
+		return Report{}, err
+	}
+	err := w.play(ctx)
+	r := w.snapshot()
+	report := Report{
+		Seed: p.Seed, Entries: p.Entries, Backends: p.Plain + p.Engines, Faults: len(p.Faults),
+		Requests: len(r.Answers), Probes: len(r.Probes), Violations: verdict.Judge(r),
+	}
+	for _, a := range r.Answers {
+		if a.Err == nil && a.Status == 200 {
+			report.Served++
+		}
+	}
+	var broken *brokenPromise
+	if errors.As(err, &broken) {
+		report.Violations, err = append(report.Violations, broken.Error()), nil
+	}
+	return report, err
+}
+
+// brokenPromise is a violation that ends a run.
+type brokenPromise struct{ what string }
+
+// Error implements error.
+func (b *brokenPromise) Error() string { return b.what }
+
+func broken(format string, args ...any) error { return &brokenPromise{fmt.Sprintf(format, args...)} }
+
+func (w *World) start() error {
+	var err error
+	if w.storeAt, err = outside.Serve(w.life, w.store); err != nil {
+		return err
+	}
+	if w.cloudAt, err = outside.Serve(w.life, w.cloud); err != nil {
+		return err
+	}
+	for i := range w.plan.Plain + w.plan.Engines {
+		b := &backend{}
+		if i >= w.plan.Plain {
+			b.events = streamSize
+		}
+		w.backends = append(w.backends, b)
+		if err := w.startBackend(i, fmt.Sprintf("server-%d", i)); err != nil {
+			return err
+		}
+	}
+	for _, kind := range caller.Kinds {
+		w.routes = append(w.routes, route(string(kind), kind))
+	}
+	w.publish()
+	return w.startEntries()
+}
+
+func route(name string, kind caller.Kind) map[string]any {
+	r := map[string]any{
+		"name": name, "host": caller.Host, "prefix": "/" + name + "/", "timeout_ms": caller.Wait.Milliseconds(),
+		"target_latency_ms": 200, "priority": 1, "service": "app", "max_attempts": 1,
+	}
+	switch kind {
+	case caller.Safe:
+		r["route_type"], r["max_attempts"] = "safe", 2
+	case caller.Unsafe:
+		r["route_type"] = "unsafe"
+	case caller.Stream:
+		r["route_type"], r["service"] = "streaming", "llm"
+	case caller.Resume:
+		r["route_type"], r["service"], r["resumable"], r["max_attempts"] = "streaming", "llm", true, 3
+	}
+	return r
+}
+
+// versionRoute is the name of the route that a version brings.
+func versionRoute(version int) string { return fmt.Sprintf("version-%d", version) }
+
+// publish writes the next configuration.
+func (w *World) publish() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.version += 1 + w.random.IntN(3)
+	w.routes = append(w.routes, route(versionRoute(w.version), caller.Safe))
+	config, err := json.Marshal(map[string]any{
+		"version": w.version, "routes": w.routes,
+		"services": []map[string]any{
+			{"name": "app", "max_connections": 200},
+			{"name": "llm", "max_connections": 200, "engine": map[string]any{"slots": slots, "kv_capacity_tokens": 100_000, "stride": 2}},
+		},
+		"limits": map[string]any{"max_body_bytes": 100_000, "max_header_bytes": 8192, "header_timeout_ms": 3000, "idle_timeout_ms": 15_000},
+		"tenants": []map[string]any{{
+			"name": caller.Account, "api_keys": []string{caller.Key}, "unit": "tokens",
+			"uncached_tokens": caller.PlainTokens, "rate_per_s": rate, "burst": rate,
+		}, {"name": caller.FreeAccount, "api_keys": []string{caller.FreeKey}}},
+	})
+	if err != nil {
+		panic(err) // a map of plain values always encodes
+	}
+	w.store.Put("op/config", config)
+	w.accepted = time.Now()
+}
+
+// startBackend starts the next incarnation of a place, at the address of the one before.
+func (w *World) startBackend(place int, id string) error {
+	w.mu.Lock()
+	b := *w.backends[place]
+	work := time.Duration(2+w.random.IntN(30)) * time.Millisecond
+	w.mu.Unlock()
+	service := "app"
+	if b.events > 0 {
+		service = "llm"
+	}
+	b.life++
+	b.label = fmt.Sprintf("%s#%d", id, b.life)
+	var err error
+	b.Backend, err = outside.Start(w.life, w.store, outside.Server{
+		ID: id, Service: service, Zone: zones[place%len(zones)], Slots: slots, Queue: queue, Work: work, Events: b.events,
+		Advertise: func(listening string) (string, error) {
+			if b.link == nil {
+				made, err := link.New(w.life, listening)
+				b.link = made
+				return made.Address, err
+			}
+			b.link.SetTarget(listening)
+			return b.link.Address, nil
+		},
+	})
+	if err != nil {
+		return err
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.backends[place] = &b
+	w.ever = append(w.ever, &b)
+	return nil
+}
+
+func (w *World) startEntries() error {
+	var settings []site.Settings
+	var seeds []string
+	kept := neverKept
+	if w.plan.Seed%2 == 0 {
+		kept = keptFrom
+	}
+	for number := range w.plan.Entries {
+		e := &entry{}
+		set := site.Settings{
+			Instance: fmt.Sprintf("entry-%d", number), Region: "r", FailureDomain: zones[number%len(zones)], FailureDomains: zones,
+			MemoryMB: memoryMB, GraceS: graceS, LeaseMS: leaseMS, LeavingMS: leavingMS,
+			Retry:  site.RetrySettings{Ratio: retryRatio, WindowS: retryWindowS, Allowance: allowance},
+			Usage:  site.UsageSettings{WindowS: usageWindowS},
+			Quota:  site.QuotaSettings{WindowS: quotaWindowS, Overrun: quotaOverrun, Slack: quotaSlack, KeptFrom: kept},
+			Policy: "papayaport_no_price", LogLevel: "info",
+		}
+		var err error
+		for _, address := range []*string{&set.Callers, &set.Ready, &set.Peers} {
+			if *address, err = w.freeAddress(); err != nil {
+				return err
+			}
+		}
+		for _, way := range []struct {
+			link   **link.Link
+			target string
+		}{{&e.store, w.storeAt}, {&e.cloud, w.cloudAt}, {&e.peers, set.Peers}} {
+			if *way.link, err = link.New(w.life, way.target); err != nil {
+				return err
+			}
+		}
+		set.Store, set.Cloud, set.AdvertisedPeers = e.store.Address, e.cloud.Address, e.peers.Address
+		if len(seeds) < mostSeeds {
+			seeds = append(seeds, set.AdvertisedPeers)
+		}
+		w.entries, settings = append(w.entries, e), append(settings, set)
+	}
+	for number, e := range w.entries {
+		settings[number].SeedPeers = seeds
+		var err error
+		if e.Instance, err = instance.New(w.options.Program, w.options.Dir, settings[number]); err != nil {
+			return err
+		}
+		if err := e.Start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// freeAddress returns an address that nothing listens at. Each run has a loopback address
+// of its own, so that no connection of another run takes the port meanwhile.
+func (w *World) freeAddress() (string, error) {
+	listener, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.1:0", 1+w.plan.Seed/200%200, 1+w.plan.Seed%200))
+	if err != nil {
+		return "", errors.Wrap(err, "find a port")
+	}
+	defer listener.Close()
+	return listener.Addr().String(), nil
+}
+
+// closeTime bounds the end of the processes.
+const closeTime = 5 * time.Second
+
+func (w *World) close() {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTime)
+	defer cancel()
+	for _, e := range w.entries {
+		if e.Instance != nil {
+			_ = e.Close(ctx) // ended by SIGKILL in any case
+		}
+	}
+}
--- a/standin/outside/outside.go
+++ b/standin/outside/outside.go
@@ -13,8 +13,10 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -57,6 +59,8 @@
 	next     int64
 	down     map[string]bool
 	lost     int
+	delay    time.Duration
+	past     []Item
 	calls    map[string]int
 }
 
@@ -112,6 +116,27 @@
 	s.lost = count
 }
 
+// Delay makes all calls take longer.
+func (s *Store) Delay(delay time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.delay = delay
+}
+
+// Past makes reads of many keys answer with what the store holds now, until it is told
+// to show the present again.
+func (s *Store) Past(past bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.past = nil
+	if past {
+		s.past = []Item{}
+		for _, item := range s.items {
+			s.past = append(s.past, item)
+		}
+	}
+}
+
 // Calls returns the number of calls by path.
 func (s *Store) Calls() map[string]int {
 	s.mu.Lock()
@@ -156,7 +181,9 @@
 	if lose {
 		s.lost--
 	}
+	delay := s.delay
 	s.mu.Unlock()
+	time.Sleep(delay)
 	if lose {
 		panic(http.ErrAbortHandler)
 	}
@@ -240,7 +267,11 @@
 
 func (s *Store) page(prefix, after string) any {
 	var items []Item
-	for _, item := range s.items {
+	held := s.past
+	if held == nil {
+		held = slices.Collect(maps.Values(s.items))
+	}
+	for _, item := range held {
 		if strings.HasPrefix(item.Key, prefix) && item.Key > after {
 			items = append(items, item)
 		}
--- a/standin/outside/server.go
+++ b/standin/outside/server.go
@@ -48,21 +48,33 @@
 	Service string
 	Zone    string
 	Slots   int
+	// Queue is the number of requests that wait for a slot; what is beyond is refused.
+	Queue int
 	// Work is the time that a request takes, and for streams the time between events.
 	Work time.Duration
 	// Events is the number of events of a stream; 0 makes a plain service.
 	Events int
+	// Advertise returns the address to register for the one that the server listens at;
+	// nil registers that one.
+	Advertise func(listening string) (string, error)
 }
 
 // Run is one request that the server began to run.
 type Run struct {
 	ID     string
+	At     time.Time
 	Method string
 	Target string
 	Header http.Header
 	Body   string
 }
 
+// Arrival is one request that reached the server, whether it ran or not.
+type Arrival struct {
+	ID string
+	At time.Time
+}
+
 // Backend is a running backend server.
 type Backend struct {
 	Server
@@ -75,7 +87,10 @@
 	wrong       Misbehaviour
 	times       int
 	active      int
+	waiting     int
+	freed       *sync.Cond
 	runs        []Run
+	arrivals    []Arrival
 	misdirected int
 	draining    bool
 }
@@ -84,11 +99,18 @@
 func Start(ctx context.Context, store *Store, s Server) (*Backend, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	b := &Backend{Server: s, store: store, born: time.Now().UnixMilli(), cancel: cancel}
+	b.freed = sync.NewCond(&b.mu)
 	var err error
 	if b.Address, err = Serve(ctx, b); err != nil {
 		cancel()
 		return nil, err
 	}
+	if s.Advertise != nil {
+		if b.Address, err = s.Advertise(b.Address); err != nil {
+			cancel()
+			return nil, err
+		}
+	}
 	b.Register()
 	return b, nil
 }
@@ -136,6 +158,13 @@
 	return append([]Run(nil), b.runs...)
 }
 
+// Arrivals returns the requests that reached the server and were meant for it.
+func (b *Backend) Arrivals() []Arrival {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return append([]Arrival(nil), b.arrivals...)
+}
+
 // Misdirected returns the number of requests that were meant for another server.
 func (b *Backend) Misdirected() int {
 	b.mu.Lock()
@@ -156,21 +185,45 @@
 	return b.wrong
 }
 
-func (b *Backend) begin(run Run) bool {
+// begin waits for a slot, and tells whether the request got one before its caller left.
+func (b *Backend) begin(ctx context.Context, run Run) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.active >= b.Slots {
+	if b.active >= b.Slots && b.waiting >= b.Queue {
 		return false
 	}
+	b.waiting++
+	stop := context.AfterFunc(ctx, func() {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.freed.Broadcast()
+	})
+	for b.active >= b.Slots && ctx.Err() == nil {
+		b.freed.Wait()
+	}
+	stop()
+	b.waiting--
+	if ctx.Err() != nil {
+		return false
+	}
+	run.At = time.Now()
 	b.active++
 	b.runs = append(b.runs, run)
 	return true
 }
 
+// load is what an answer tells: running, waiting, slots.
+func (b *Backend) load() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return fmt.Sprintf("%d,%d,%d", b.active, b.waiting, b.Slots)
+}
+
 func (b *Backend) end() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.active--
+	b.freed.Broadcast()
 }
 
 // ServeHTTP runs one request.
@@ -192,14 +245,18 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	run := Run{ID: id, Method: r.Method, Target: r.RequestURI, Header: r.Header.Clone(), Body: string(body)}
-	if wrong == Refuse || !b.begin(run) {
+	now := time.Now()
+	b.mu.Lock()
+	b.arrivals = append(b.arrivals, Arrival{id, now})
+	b.mu.Unlock()
+	run := Run{ID: id, At: now, Method: r.Method, Target: r.RequestURI, Header: r.Header.Clone(), Body: string(body)}
+	if wrong == Refuse || !b.begin(r.Context(), run) {
 		header.Set("X-Papayaport-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	defer b.end()
-	header.Set("X-Papayaport-Instance-Load", fmt.Sprintf("1,0,%d", b.Slots))
+	header.Set("X-Papayaport-Instance-Load", b.load())
 	header.Set("X-Papayaport-Server-Seal", b.Seal(id))
 	if b.Events > 0 && wrong != Fail {
 		b.stream(w, r, wrong)
