Give a silent attempt up only when the budget allows a repeat

Cause: a request that had waited three latency targets was cancelled at its server and then found no budget for its repeat; in an overload every queue is that long. Ruled out: servers that are really silent; the same servers answered others in that time. Change: the repeat is taken from the budget before the attempt is given up, the attempt goes on without one, and a wait that was expected when the server was chosen is no silence.

--- a/entry/relay/run.go
+++ b/entry/relay/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -25,6 +26,12 @@
 	// shortestSilence is the least time before that, so that a garbage collection or a
 	// lost packet does not double the load.
 	shortestSilence = 500 * time.Millisecond
+	// silenceEstimates is the number of estimated times to the first answer before that: a
+	// queue that was known of is no silence.
+	silenceEstimates = 2
+	// budgetPeriod is the time between two looks whether the budget allows a repeat of a
+	// silent attempt.
+	budgetPeriod = 250 * time.Millisecond
 	// lastRequest is the time before its end from which on a leaving instance takes no
 	// request at all: plain services answer nearly all within a second.
 	lastRequest = time.Second
@@ -53,6 +60,8 @@
 	mayHaveRun bool
 	// begun tells that the request was counted as running.
 	begun bool
+	// reserved tells that a repeat was taken from the budget and not sent yet.
+	reserved atomic.Bool
 
 	// What the log line tells besides.
 	status    int
@@ -183,7 +192,8 @@
 	a := &attempt{id: relay.attemptID(r.call), choice: choice, cancel: cancel}
 	r.backend = choice.Backend.ID
 	relay.Routes.Sent(time.Now(), a.id, choice, request)
-	silence := time.AfterFunc(r.silence(), func() { cancel(errSilent) })
+	silence := r.watchSilence(cancel, r.attempts+1)
+	silence.Reset(r.silence(choice))
 	defer silence.Stop()
 	header := relay.Codec.Attempt(r.call, Attempt{
 		Server: choice.Backend.ID, Left: time.Until(r.deadline), Account: r.accountName(),
@@ -201,14 +211,29 @@
 	return a, nil
 }
 
-// silence returns how long an attempt may stay without the head of an answer. The last
-// attempt of a request has all the time that is left.
-func (r *run) silence() time.Duration {
-	left := time.Until(r.deadline)
-	if !r.route.MayRepeat() || r.attempts+1 >= r.route.MaxAttempts {
-		return left
-	}
-	return min(left, max(silenceTargets*r.route.Target, shortestSilence))
+// silence returns how long an attempt may stay without an answer before it is repeated
+// elsewhere.
+func (r *run) silence(choice route.Choice) time.Duration {
+	return max(silenceTargets*r.route.Target, silenceEstimates*choice.FirstToken, shortestSilence)
+}
+
+// watchSilence gives an attempt up when its timer ends, if another one may follow it. One
+// that can't be repeated keeps its place at the server to the end: in an overload the
+// budget is spent, and giving up would only lose the answer.
+func (r *run) watchSilence(cancel context.CancelCauseFunc, sent int) *time.Timer {
+	var timer *time.Timer
+	timer = time.AfterFunc(time.Hour, func() {
+		if !r.route.MayRepeat() || sent >= r.route.MaxAttempts {
+			return
+		}
+		if !r.relay.Budget.Take(time.Now(), r.service) {
+			timer.Reset(budgetPeriod)
+			return
+		}
+		r.reserved.Store(true)
+		cancel(errSilent)
+	})
+	return timer
 }
 
 // noteFailure counts an attempt that got no answer.
@@ -288,7 +313,7 @@
 		return r.unsent < maxUnsent
 	}
 	return r.attempts < max(r.route.MaxAttempts, 1) && r.unsent < maxUnsent &&
-		r.relay.Budget.Take(time.Now(), r.service)
+		(r.reserved.Swap(false) || r.relay.Budget.Take(time.Now(), r.service))
 }
 
 // givenUp returns the final answer of a request that gets no further attempt.
--- a/entry/relay/stream.go
+++ b/entry/relay/stream.go
@@ -105,10 +105,10 @@
 // forward copies whole events to the caller as they arrive.
 func (r *run) forward(ctx context.Context, a *attempt, out *stream) error {
 	reader := event.New(a.response.Body)
-	watch := time.AfterFunc(time.Hour, func() { a.cancel(errSilent) })
+	watch := r.watchSilence(a.cancel, r.attempts)
 	defer watch.Stop()
 	for first := true; ; first = false {
-		watch.Reset(r.gap(first))
+		watch.Reset(r.gap(a, first))
 		one, err := reader.Next()
 		if errors.Is(err, io.EOF) {
 			if !out.begun {
@@ -135,17 +135,12 @@
 	}
 }
 
-// gap returns how long the next event may take. Only a stream that can go on elsewhere
-// is given up for silence.
-func (r *run) gap(first bool) time.Duration {
-	left := time.Until(r.deadline)
-	if !r.route.MayRepeat() || r.attempts >= r.route.MaxAttempts {
-		return left
-	}
+// gap returns how long the next event may take before the stream goes on elsewhere.
+func (r *run) gap(a *attempt, first bool) time.Duration {
 	if first {
-		return min(left, max(silenceTargets*r.route.Target, shortestSilence))
+		return r.silence(a.choice)
 	}
-	return min(left, max(gapFactor*r.route.TargetGap, shortestGap))
+	return max(gapFactor*r.route.TargetGap, shortestGap)
 }
 
 func (r *run) beginStream(a *attempt, out *stream) {
--- a/entry/site/borrow.go
+++ b/entry/site/borrow.go
@@ -89,10 +89,10 @@
 func (s *Site) borrow(ctx context.Context, address string, debt admission.Debt) float64 {
 	ctx, cancel := context.WithTimeout(ctx, lendTimeout)
 	defer cancel()
-	reply, err := s.askPeer(ctx, address, limitQuery{Lend: &debt})
+	answered, err := s.askPeer(ctx, address, query{Lend: &debt})
 	if err != nil {
 		s.part("limits").WithError(err).Debug("limits: peer did not answer")
 		return 0
 	}
-	return reply.Lent
+	return answered.Lent
 }
--- a/entry/site/duties.go
+++ b/entry/site/duties.go
@@ -113,9 +113,16 @@
 	if err != nil {
 		return usage.Window{}, err
 	}
-	var all []usage.Counts
+	written := map[string]usage.Counts{}
+	for _, instance := range s.told.Instances() {
+		written[instance] = nil
+	}
 	for _, r := range s.setEntries(entries.Entries) {
-		all = append(all, r.Usage[number])
+		written[r.instance] = r.Usage[number]
+	}
+	var all []usage.Counts
+	for instance, counts := range written {
+		all = append(all, s.told.Counts(instance, number, counts))
 	}
 	fixed := map[int64]usage.Counts{}
 	entry, err := s.platform.Store.Get(ctx, reportsKey)
--- a/entry/site/limits.go
+++ b/entry/site/limits.go
@@ -29,22 +29,24 @@
 	unreachedFor = 3 * time.Second
 )
 
-// limitQuery is a question of one entry instance to another about a client account's
-// limit: one of the two is set.
-type limitQuery struct {
+// query is a question of one entry instance to another: one of its fields is set.
+type query struct {
 	// Lend asks for unused tokens.
 	Lend *admission.Debt `cbor:"1,keyasint,omitempty"`
 	// Admit asks the keeper of a limit to charge a request.
 	Admit *admission.Ask `cbor:"2,keyasint,omitempty"`
+	// Roll asks for load and counts.
+	Roll bool `cbor:"3,keyasint,omitempty"`
 }
 
-// limitReply is the answer.
-type limitReply struct {
+// reply is the answer.
+type reply struct {
 	Lent     float64 `cbor:"1,keyasint,omitempty"`
 	Refused  bool    `cbor:"2,keyasint,omitempty"`
 	Detail   string  `cbor:"3,keyasint,omitempty"`
 	RetryMS  int64   `cbor:"4,keyasint,omitempty"`
 	NotKnown bool    `cbor:"5,keyasint,omitempty"`
+	Roll     *roll   `cbor:"6,keyasint,omitempty"`
 }
 
 // Admit charges a request to its account. In a small fleet each entry instance has a part
@@ -90,7 +92,7 @@
 			continue
 		}
 		limited, cancel := context.WithTimeout(ctx, keeperTimeout)
-		reply, err := s.askPeer(limited, keeper.PeerAddress, limitQuery{Admit: &ask})
+		answered, err := s.askPeer(limited, keeper.PeerAddress, query{Admit: &ask})
 		cancel()
 		if err != nil {
 			s.unreached.note(keeper.PeerAddress)
@@ -98,10 +100,10 @@
 			continue
 		}
 		switch {
-		case reply.NotKnown:
+		case answered.NotKnown:
 			continue
-		case reply.Refused:
-			return true, problem.New(problem.AccountLimit, "%s", reply.Detail).After(time.Duration(reply.RetryMS) * time.Millisecond)
+		case answered.Refused:
+			return true, problem.New(problem.AccountLimit, "%s", answered.Detail).After(time.Duration(answered.RetryMS) * time.Millisecond)
 		}
 		return true, nil
 	}
@@ -119,46 +121,49 @@
 	return records[:min(keepers, len(records))]
 }
 
-func (s *Site) askPeer(ctx context.Context, address string, query limitQuery) (limitReply, error) {
-	var reply limitReply
-	data, err := cbor.Marshal(query)
+func (s *Site) askPeer(ctx context.Context, address string, question query) (reply, error) {
+	var answered reply
+	data, err := cbor.Marshal(question)
 	if err != nil {
-		return reply, errors.Wrap(err, "encode query")
+		return answered, errors.Wrap(err, "encode query")
 	}
 	answer, err := s.peers.Action(ctx, address, data)
 	if err != nil {
-		return reply, err
+		return answered, err
 	}
-	return reply, errors.Wrap(cbor.Unmarshal(answer, &reply), "decode reply")
+	return answered, errors.Wrap(cbor.Unmarshal(answer, &answered), "decode reply")
 }
 
-// Action answers a question about a client account's limit.
+// Action answers a question of another entry instance.
 func (h *handler) Action(_ context.Context, data []byte) ([]byte, error) {
-	var query limitQuery
-	if err := cbor.Unmarshal(data, &query); err != nil {
+	var question query
+	if err := cbor.Unmarshal(data, &question); err != nil {
 		return nil, errors.Wrap(err, "decode query")
 	}
-	var reply limitReply
+	var answered reply
 	switch {
-	case query.Lend != nil:
-		reply.Lent = h.s.admission.Lend(time.Now(), *query.Lend)
-	case query.Admit != nil:
-		reply = h.s.keep(*query.Admit)
+	case question.Lend != nil:
+		answered.Lent = h.s.admission.Lend(time.Now(), *question.Lend)
+	case question.Admit != nil:
+		answered = h.s.keep(*question.Admit)
+	case question.Roll:
+		own := h.s.ownRoll(time.Now())
+		answered.Roll = &own
 	}
-	answer, err := cbor.Marshal(reply)
+	answer, err := cbor.Marshal(answered)
 	return answer, errors.Wrap(err, "encode reply")
 }
 
 // keep charges a request of another entry instance to an account that is kept here.
-func (s *Site) keep(ask admission.Ask) limitReply {
+func (s *Site) keep(ask admission.Ask) reply {
 	refusal := charge(s.kept, ask)
 	switch {
 	case refusal == nil:
-		return limitReply{}
+		return reply{}
 	case refusal.Kind != problem.AccountLimit:
-		return limitReply{NotKnown: true} // the configuration here lags or is ahead
+		return reply{NotKnown: true} // the configuration here lags or is ahead
 	}
-	return limitReply{Refused: true, Detail: refusal.Detail, RetryMS: refusal.RetryAfter.Milliseconds()}
+	return reply{Refused: true, Detail: refusal.Detail, RetryMS: refusal.RetryAfter.Milliseconds()}
 }
 
 // unreached remembers keepers that did not answer.
--- a/entry/site/orders.go
+++ b/entry/site/orders.go
@@ -68,18 +68,13 @@
 		}
 		in.Live[server.FailureDomain] = count
 	}
-	recorded := 0.0
-	s.mu.Lock()
-	for _, r := range s.records {
-		recorded += r.TokensPerSecond
-		in.InFlight += r.InFlight[svc.Name]
-	}
-	s.mu.Unlock()
+	inFlight, tokens := s.load(now, svc.Name)
 	if s.entries() < s.set.Quota.KeptFrom {
-		// Peers of a small fleet tell their demand sooner than the records.
-		recorded = s.owed(s.askedFor(now))
+		// In a small fleet peers tell their demand account by account, so that what lies
+		// beyond a limit is left out over all of them.
+		tokens = s.owed(s.askedFor(now))
 	}
-	in.PrefillPerSecond = uncachedShare * recorded
+	in.InFlight, in.PrefillPerSecond = inFlight, uncachedShare*tokens
 	return in
 }
 
--- a/entry/site/record.go
+++ b/entry/site/record.go
@@ -22,7 +22,7 @@
 	// recordPeriod is the time between two looks at ended windows.
 	recordPeriod = 250 * time.Millisecond
 	// keptWindows is the number of windows that stay in a record and among the fixed sums.
-	keptWindows = 6
+	keptWindows = usage.Kept
 )
 
 // record is what an entry instance keeps in the store about itself.
@@ -37,6 +37,9 @@
 	// TokensPerSecond what client accounts ask for, both as of the last write.
 	InFlight        map[string]int `json:"in_flight,omitempty"`
 	TokensPerSecond float64        `json:"tokens_per_second,omitempty"`
+
+	// instance is the name that the record is kept under.
+	instance string
 }
 
 // recordKeeper is the state of this instance's record.
@@ -126,9 +129,10 @@
 			s.part("record").WithError(err).WithField("key", entry.Key).Warn("record: unreadable, left out")
 			continue
 		}
+		r.instance = entry.Key[len(entriesPrefix):]
 		records = append(records, r)
 		instances = append(instances, platform.Instance{
-			ID: entry.Key[len(entriesPrefix):], Incarnation: r.Incarnation, Role: platform.EntryRole, Region: r.Region,
+			ID: r.instance, Incarnation: r.Incarnation, Role: platform.EntryRole, Region: r.Region,
 			FailureDomain: r.FailureDomain, PeerAddress: r.PeerAddress, Address: r.CallerAddress,
 		})
 	}
--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -138,6 +138,8 @@
 	record     recordKeeper
 	planner    *sizing.Planner
 	contacts   contacts
+	rolls      rolls
+	told       *usage.Heard
 	debts      debtors
 	unreached  unreached
 	callers    callers
@@ -161,7 +163,7 @@
 	})
 	dialled := s.meters.NewCounter("papayaport_backend_dials_total")
 	s.pool = upstream.New(upstream.Options{DialTimeout: dialTimeout, EchoHeader: p.EchoHeader, Dialled: dialled.Inc})
-	s.usage = usage.New(seconds(set.Usage.WindowS))
+	s.usage, s.told = usage.New(seconds(set.Usage.WindowS)), usage.NewHeard()
 	s.members = membership.New(s.self(), set.SeedPeers, seeded(), membership.DefaultBudget)
 	s.peers = peer.New(peer.DefaultOptions())
 	s.exchange = exchange.New(exchange.Parts{
@@ -199,7 +201,7 @@
 		return err
 	}
 	for _, loop := range []func(context.Context) error{
-		s.runView, s.exchange.Run, s.runRecord, s.leases.Run, s.runDuties, s.runTicks, s.runBorrow,
+		s.runView, s.exchange.Run, s.runRecord, s.leases.Run, s.runDuties, s.runTicks, s.runBorrow, s.runRoll,
 	} {
 		group.Go(func() error {
 			err := loop(running)
--- a/serving/process/usage/usage.go
+++ b/serving/process/usage/usage.go
@@ -28,6 +28,9 @@
 // token arrived before the end and was counted just after it.
 const Settle = 300 * time.Millisecond
 
+// Kept is the number of ended windows that are kept for reports that are late.
+const Kept = 6
+
 // Counts is the number of requests that began to run, by client account.
 type Counts map[string]int
 
@@ -46,11 +49,13 @@
 	windows map[int64]Counts
 	// written is the number of the last window that Ended returned.
 	written int64
+	// ended holds the last windows that Ended returned.
+	ended map[int64]Counts
 }
 
 // New returns a counter with windows of a length.
 func New(length time.Duration) *Counter {
-	return &Counter{length: length, windows: map[int64]Counts{}}
+	return &Counter{length: length, windows: map[int64]Counts{}, ended: map[int64]Counts{}}
 }
 
 // Number returns the number of the window that a time lies in.
@@ -83,12 +88,28 @@
 			continue
 		}
 		ended = append(ended, Window{Number: number, Counts: c.windows[number]})
+		c.ended[number] = c.windows[number]
 		delete(c.windows, number)
 	}
 	c.written = max(c.written, last)
+	maps.DeleteFunc(c.ended, func(number int64, _ Counts) bool { return number <= last-Kept })
 	return ended
 }
 
+// Told returns what this process counted in the running window and the last ones, for
+// whoever adds up and can't read what this instance writes.
+func (c *Counter) Told() map[int64]Counts {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	told := map[int64]Counts{}
+	for _, windows := range []map[int64]Counts{c.ended, c.windows} {
+		for number, counts := range windows {
+			told[number] = maps.Clone(counts)
+		}
+	}
+	return told
+}
+
 // Sum adds up the counts of several entry instances.
 func Sum(all []Counts) Counts {
 	sum := Counts{}
--- a/serving/process/usage/usage_test.go
+++ b/serving/process/usage/usage_test.go
@@ -29,3 +29,61 @@
 func TestSum(t *testing.T) {
 	require.Equal(t, usage.Counts{"a": 3, "b": 1}, usage.Sum([]usage.Counts{{"a": 1}, {"a": 2, "b": 1}, nil}))
 }
+
+// TestHeard adds up what was written and what was told.
+func TestHeard(t *testing.T) {
+	type told struct {
+		incarnation uint64
+		windows     map[int64]usage.Counts
+	}
+	for name, test := range map[string]struct {
+		told    []told
+		written usage.Counts
+		want    usage.Counts
+	}{
+		"written and told": {
+			[]told{{1, map[int64]usage.Counts{7: {"a": 3}}}},
+			usage.Counts{"a": 3, "b": 1},
+			usage.Counts{"a": 3, "b": 1},
+		},
+		"cut off from the store": {[]told{{1, map[int64]usage.Counts{7: {"a": 3}}}}, nil, usage.Counts{"a": 3}},
+		"killed and started again": {
+			[]told{{1, map[int64]usage.Counts{7: {"a": 3}}}, {2, map[int64]usage.Counts{7: {"a": 2}}}},
+			usage.Counts{"a": 2},
+			usage.Counts{"a": 5},
+		},
+		"told again": {
+			[]told{{1, map[int64]usage.Counts{7: {"a": 1}}}, {1, map[int64]usage.Counts{7: {"a": 4}}}},
+			nil,
+			usage.Counts{"a": 4},
+		},
+		"another window": {[]told{{1, map[int64]usage.Counts{6: {"a": 1}}}}, nil, usage.Counts{}},
+		"later told without the window": {
+			[]told{{1, map[int64]usage.Counts{7: {"a": 4}}}, {1, map[int64]usage.Counts{8: {"a": 4}}}},
+			nil,
+			usage.Counts{"a": 4},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			heard := usage.NewHeard()
+			for _, one := range test.told {
+				heard.Tell("entry-1", one.incarnation, one.windows)
+			}
+			require.Equal(t, test.want, heard.Counts("entry-1", 7, test.written))
+		})
+	}
+}
+
+// TestTold tells the running window and the ended ones.
+func TestTold(t *testing.T) {
+	c := usage.New(time.Second)
+	at := time.Unix(1_800_000_000, 0)
+	c.Began(at, "a")
+	c.Began(at.Add(1500*time.Millisecond), "b")
+	require.Len(t, c.Ended(at.Add(1600*time.Millisecond)), 1)
+	number := c.Number(at)
+	require.Equal(t, map[int64]usage.Counts{number: {"a": 1}, number + 1: {"b": 1}}, c.Told())
+	c.Began(at.Add(20*time.Second), "a")
+	c.Ended(at.Add(22 * time.Second))
+	require.Equal(t, map[int64]usage.Counts{number + 20: {"a": 1}}, c.Told())
+}
