Let two instances of each failure domain read the store for the others

A view says how old it is; one that is older than an instance's own period is not taken, and the instance reads by itself. An instance that can't read the store asks peers, in fleets of any size. Test: TestRelayedViews.

--- a/entry/site/backends.go
+++ b/entry/site/backends.go
@@ -1,12 +1,10 @@
 package site
 
 import (
-	"context"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
-	"papayaport.dev/serving/process/clock"
 	"papayaport.dev/serving/process/directory"
 	"papayaport.dev/serving/process/membership"
 	"papayaport.dev/serving/request/route"
@@ -14,13 +12,6 @@
 )
 
 const (
-	// viewShare is the share of the time allowed for a leaving server's new work to end
-	// that passes between two views; a late or lost one leaves time for another.
-	viewShare = 0.42
-	// viewTimeout bounds one view.
-	viewTimeout = 900 * time.Millisecond
-	// viewRetry is the time to the next view after one that failed.
-	viewRetry = 300 * time.Millisecond
 	// usualLeaving is the time that a leaving server has when it names none.
 	usualLeaving = 5 * time.Second
 	// evenPrice is the price of every server in the choice of one, in dollars an hour:
@@ -33,35 +24,6 @@
 	decodeMS         = 12
 )
 
-// runView follows the configuration, the backend servers and the other entry instances.
-func (s *Site) runView(ctx context.Context) error {
-	table := directory.New(directory.DefaultReturn)
-	period := time.Duration(viewShare * float64(milliseconds(s.set.LeavingMS)))
-	return clock.EveryOr(ctx, period, min(viewRetry, period), func(ctx context.Context) bool {
-		begun := time.Now()
-		limited, cancel := context.WithTimeout(ctx, viewTimeout)
-		defer cancel()
-		view, err := s.platform.Viewer.View(limited)
-		if ctx.Err() != nil {
-			return false
-		}
-		if s.contacts.note(s.part("site"), "store", err) {
-			s.leases.Regained()
-		}
-		now := time.Now()
-		if err != nil {
-			table.Failed(begun)
-			return false
-		}
-		if len(view.Configuration) > 0 {
-			s.adopt(view.Configuration, "store")
-		}
-		s.setServers(now, table.Listed(now, view.Servers))
-		s.setEntries(view.Own)
-		return true
-	})
-}
-
 func (s *Site) setServers(now time.Time, servers []directory.Server) {
 	s.logServers(s.backends(), servers)
 	backends := make([]route.Backend, len(servers))
--- a/entry/site/limits.go
+++ b/entry/site/limits.go
@@ -11,6 +11,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
+	"papayaport.dev/serving/process/membership"
 	"papayaport.dev/serving/process/problem"
 	"papayaport.dev/serving/request/admission"
 )
@@ -37,6 +38,8 @@
 	Admit *admission.Ask `cbor:"2,keyasint,omitempty"`
 	// Roll asks for load and counts.
 	Roll bool `cbor:"3,keyasint,omitempty"`
+	// View asks for the view of the store.
+	View *viewQuery `cbor:"4,keyasint,omitempty"`
 }
 
 // reply is the answer.
@@ -47,6 +50,8 @@
 	RetryMS  int64   `cbor:"4,keyasint,omitempty"`
 	NotKnown bool    `cbor:"5,keyasint,omitempty"`
 	Roll     *roll   `cbor:"6,keyasint,omitempty"`
+
+	View *viewReply `cbor:"7,keyasint,omitempty"`
 }
 
 // Admit charges a request to its account. In a small fleet each entry instance has a part
@@ -110,15 +115,25 @@
 	return false, nil
 }
 
-// keepersOf returns the first entry instances in an account's rendezvous order (Thaler and
-// Ravishankar, 1998) among those that the store lists, so that all agree without a call.
-func (s *Site) keepersOf(account string) []record {
+// keepersOf returns the first entry instances in an account's order among those that the
+// store lists, so that all agree without a call.
+func (s *Site) keepersOf(account string) []membership.Member {
 	s.mu.Lock()
-	records := slices.Clone(s.records)
+	records := s.records
 	s.mu.Unlock()
-	rank := func(r record) uint64 { return xxhash.Sum64String(r.PeerAddress + "\x00" + account) }
-	slices.SortFunc(records, func(a, b record) int { return cmp.Compare(rank(b), rank(a)) })
-	return records[:min(keepers, len(records))]
+	listed := make([]membership.Member, len(records))
+	for i, r := range records {
+		listed[i] = membership.Member{Instance: r.instance, FailureDomain: r.FailureDomain, PeerAddress: r.PeerAddress}
+	}
+	listed = rendezvous(listed, account)
+	return listed[:min(keepers, len(listed))]
+}
+
+// rendezvous sorts entry instances by their rank for a key (Thaler and Ravishankar, 1998).
+func rendezvous(members []membership.Member, key string) []membership.Member {
+	rank := func(m membership.Member) uint64 { return xxhash.Sum64String(m.PeerAddress + "\x00" + key) }
+	slices.SortFunc(members, func(a, b membership.Member) int { return cmp.Compare(rank(b), rank(a)) })
+	return members
 }
 
 func (s *Site) askPeer(ctx context.Context, address string, question query) (reply, error) {
@@ -149,6 +164,11 @@
 	case question.Roll:
 		own := h.s.ownRoll(time.Now())
 		answered.Roll = &own
+	case question.View != nil:
+		var err error
+		if answered.View, err = h.s.answerView(*question.View); err != nil {
+			return nil, err
+		}
 	}
 	answer, err := cbor.Marshal(answered)
 	return answer, errors.Wrap(err, "encode reply")
--- a/entry/site/settings.go
+++ b/entry/site/settings.go
@@ -49,6 +49,10 @@
 	Usage UsageSettings `json:"usage"`
 	Quota QuotaSettings `json:"quota"`
 
+	// RelayedFrom is the number of entry instances from which on a few of each failure
+	// domain read the store and the others ask them.
+	RelayedFrom int `json:"relayed_from"`
+
 	// Policy is the routing policy.
 	Policy   string `json:"policy"`
 	LogLevel string `json:"log_level"`
@@ -78,6 +82,10 @@
 	KeptFrom int `json:"kept_from"`
 }
 
+// usualRelayedFrom is RelayedFrom when the settings name none: a third and more of the
+// instances read below it.
+const usualRelayedFrom = 24
+
 // usualKeptFrom is KeptFrom when the settings name none: beyond it a part of a limit holds
 // less than one request, and what peers tell of their demand comes too late.
 const usualKeptFrom = 24
@@ -104,7 +112,7 @@
 // Parse reads settings and returns all faults, each with file, field, value and what is
 // allowed.
 func Parse(file string, data []byte) (Settings, []string) {
-	set := Settings{Policy: route.Papayaport + "_no_price", LogLevel: "info", Quota: QuotaSettings{KeptFrom: usualKeptFrom}}
+	set := Settings{Policy: route.Papayaport + "_no_price", LogLevel: "info", RelayedFrom: usualRelayedFrom, Quota: QuotaSettings{KeptFrom: usualKeptFrom}}
 	decoder := json.NewDecoder(bytes.NewReader(data))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(&set); err != nil {
@@ -134,7 +142,7 @@
 	for field, value := range map[string]float64{
 		"memory_mb": float64(s.MemoryMB), "grace_s": s.GraceS, "lease_ms": float64(s.LeaseMS),
 		"leaving_ms": float64(s.LeavingMS), "retry.window_s": s.Retry.WindowS, "usage.window_s": s.Usage.WindowS, "quota.window_s": s.Quota.WindowS,
-		"quota.kept_from": float64(s.Quota.KeptFrom),
+		"quota.kept_from": float64(s.Quota.KeptFrom), "relayed_from": float64(s.RelayedFrom),
 	} {
 		if value <= 0 {
 			add(field, value, "a number above 0")
--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -138,6 +138,7 @@
 	record     recordKeeper
 	planner    *sizing.Planner
 	contacts   contacts
+	view       atomic.Pointer[heldView]
 	rolls      rolls
 	told       *usage.Heard
 	debts      debtors
--- a/serving/process/clock/clock.go
+++ b/serving/process/clock/clock.go
@@ -37,17 +37,3 @@
 		}
 	}
 }
-
-// EveryOr calls step at once and then with a period, or with another one after a step that
-// returned false, until ctx ends, and returns its cause.
-func EveryOr(ctx context.Context, period, retry time.Duration, step func(ctx context.Context) bool) error {
-	for {
-		wait := period
-		if !step(ctx) {
-			wait = retry
-		}
-		if err := Sleep(ctx, wait); err != nil {
-			return err
-		}
-	}
-}
