Size the fleet by what is taken in; write the last counts at the end

Change: each instance measures the tokens that it takes in over 3 s and tells them with the roll call.

--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -130,6 +130,11 @@
 	Began(at time.Time, account string)
 }
 
+// Intake measures the work that is taken in.
+type Intake interface {
+	Admitted(at time.Time, service string, tokens int)
+}
+
 // Limiter keeps the limits of client accounts over all entry instances.
 type Limiter interface {
 	// Admit charges a request to its account, or returns a *problem.Error.
@@ -141,6 +146,7 @@
 	Versions Versions
 	Routes   *route.Table
 	Limiter  Limiter
+	Intake   Intake
 	Budget   *budget.Table
 	Pool     *upstream.Pool
 	Usage    Usage
--- a/entry/relay/run.go
+++ b/entry/relay/run.go
@@ -113,15 +113,22 @@
 	if p := r.call.Prompt; p != nil {
 		return p.PromptTokens + p.AnswerTokens
 	}
+	if r.account == nil {
+		return 0
+	}
 	return r.account.PlainTokens
 }
 
 // admit checks the limits of the client account.
 func (r *run) admit(ctx context.Context) error {
-	if r.account == nil || (r.account.TokensPerSecond <= 0 && r.account.RequestsPerSecond <= 0) {
-		return nil
+	if r.account != nil && (r.account.TokensPerSecond > 0 || r.account.RequestsPerSecond > 0) {
+		err := r.relay.Limiter.Admit(ctx, r.relay.attemptID(r.call), r.account.Name, r.tokens())
+		if err != nil {
+			return err
+		}
 	}
-	return r.relay.Limiter.Admit(ctx, r.relay.attemptID(r.call), r.account.Name, r.tokens())
+	r.relay.Intake.Admitted(time.Now(), r.service, r.tokens())
+	return nil
 }
 
 func (r *run) priority() int {
--- a/entry/site/duties.go
+++ b/entry/site/duties.go
@@ -113,6 +113,8 @@
 	if err != nil {
 		return usage.Window{}, err
 	}
+	// A holder that has just taken over heard nothing yet.
+	s.callRoll(ctx, true)
 	written := map[string]usage.Counts{}
 	for _, instance := range s.told.Instances() {
 		written[instance] = nil
--- a/entry/site/limits.go
+++ b/entry/site/limits.go
@@ -165,10 +165,7 @@
 		own := h.s.ownRoll(time.Now())
 		answered.Roll = &own
 	case question.View != nil:
-		var err error
-		if answered.View, err = h.s.answerView(*question.View); err != nil {
-			return nil, err
-		}
+		answered.View = h.s.answerView(*question.View)
 	}
 	answer, err := cbor.Marshal(answered)
 	return answer, errors.Wrap(err, "encode reply")
--- a/entry/site/orders.go
+++ b/entry/site/orders.go
@@ -7,11 +7,10 @@
 	"github.com/sirupsen/logrus"
 
 	"papayaport.dev/serving/process/sizing"
-	"papayaport.dev/serving/request/admission"
 	"papayaport.dev/serving/version/deployment"
 )
 
-// uncachedShare is the part of the tokens asked for that engines read anew: prompts share
+// uncachedShare is the part of the tokens taken in that engines read anew: prompts share
 // most of their parts, and answers are no prompts.
 const uncachedShare = 0.3
 
@@ -69,11 +68,6 @@
 		in.Live[server.FailureDomain] = count
 	}
 	inFlight, tokens := s.load(now, svc.Name)
-	if s.entries() < s.set.Quota.KeptFrom {
-		// In a small fleet peers tell their demand account by account, so that what lies
-		// beyond a limit is left out over all of them.
-		tokens = s.owed(s.askedFor(now))
-	}
 	in.InFlight, in.PrefillPerSecond = inFlight, uncachedShare*tokens
 	return in
 }
@@ -92,45 +86,3 @@
 	}
 	return inFlight
 }
-
-// tokensPerSecond returns what client accounts ask for through this instance, and what
-// they ask for altogether where this instance keeps their limit.
-func (s *Site) tokensPerSecond(now time.Time) float64 {
-	asked := map[string]float64{}
-	for _, table := range []*admission.Table{s.admission, s.kept} {
-		for _, use := range table.Use(now) {
-			asked[use.Account] += use.TokensPerSecond
-		}
-	}
-	return s.owed(asked)
-}
-
-// askedFor returns what client accounts ask for through all entry instances heard of.
-func (s *Site) askedFor(now time.Time) map[string]float64 {
-	asked := map[string]float64{}
-	for _, use := range s.admission.Use(now) {
-		asked[use.Account] += use.TokensPerSecond
-	}
-	for _, use := range s.members.Totals(now).ByAccount {
-		asked[use.Account] += use.TokensPerSecond
-	}
-	return asked
-}
-
-// owed adds up demand, what lies beyond an account's limit left out: it is refused, and
-// servers for it would stand idle.
-func (s *Site) owed(asked map[string]float64) (total float64) {
-	version := s.keeper.Current()
-	if version == nil {
-		return 0
-	}
-	for i := range version.Accounts {
-		account := &version.Accounts[i]
-		demand := asked[accountsService+"/"+account.Name]
-		if account.TokensPerSecond > 0 {
-			demand = min(demand, account.TokensPerSecond)
-		}
-		total += demand
-	}
-	return total
-}
--- a/entry/site/record.go
+++ b/entry/site/record.go
@@ -21,6 +21,8 @@
 	entriesPrefix = "papayaport/entries/"
 	// recordPeriod is the time between two looks at ended windows.
 	recordPeriod = 250 * time.Millisecond
+	// flushTimeout bounds the last write of a process, within the margin of its grace.
+	flushTimeout = 400 * time.Millisecond
 	// keptWindows is the number of windows that stay in a record and among the fixed sums.
 	keptWindows = usage.Kept
 )
@@ -32,11 +34,12 @@
 	FailureDomain string                 `json:"failure_domain"`
 	PeerAddress   string                 `json:"peer_address"`
 	CallerAddress string                 `json:"caller_address"`
+	MemoryMB      int                    `json:"memory_mb,omitempty"`
 	Usage         map[int64]usage.Counts `json:"usage,omitempty"`
-	// InFlight holds the requests at backend servers through this instance by service, and
-	// TokensPerSecond what client accounts ask for, both as of the last write.
-	InFlight        map[string]int `json:"in_flight,omitempty"`
-	TokensPerSecond float64        `json:"tokens_per_second,omitempty"`
+	// InFlight holds the requests at backend servers through this instance, and
+	// TokensPerSecond the tokens that it takes in, both by service as of the last write.
+	InFlight        map[string]int     `json:"in_flight,omitempty"`
+	TokensPerSecond map[string]float64 `json:"intake,omitempty"`
 
 	// instance is the name that the record is kept under.
 	instance string
@@ -85,6 +88,21 @@
 	}
 }
 
+// flushRecord writes what was counted since the last window, at the end of a process.
+func (s *Site) flushRecord() {
+	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
+	defer cancel()
+	if !s.record.loaded {
+		s.loadRecord(ctx)
+	}
+	for _, window := range s.usage.Rest() {
+		s.addWindow(window)
+	}
+	if s.record.loaded && s.record.dirty {
+		s.writeRecord(ctx)
+	}
+}
+
 func (s *Site) addWindow(window usage.Window) {
 	if s.record.usage == nil {
 		s.record.usage = map[int64]usage.Counts{}
@@ -102,8 +120,8 @@
 	defer cancel()
 	value, err := json.Marshal(record{
 		Incarnation: s.incarnation(), Region: s.set.Region, FailureDomain: s.set.FailureDomain,
-		PeerAddress: s.set.AdvertisedPeers, CallerAddress: s.set.Callers, Usage: s.record.usage,
-		InFlight: s.inFlight(), TokensPerSecond: s.tokensPerSecond(time.Now()),
+		PeerAddress: s.set.AdvertisedPeers, CallerAddress: s.set.Callers, MemoryMB: s.set.MemoryMB, Usage: s.record.usage,
+		InFlight: s.inFlight(), TokensPerSecond: s.intake.PerSecond(time.Now()),
 	})
 	if err != nil {
 		s.part("record").WithError(err).Error("record: not encoded")
--- a/entry/site/roll.go
+++ b/entry/site/roll.go
@@ -13,8 +13,8 @@
 
 const (
 	// rollPeriod is the time between two rounds of questions to peers, and rollTurns the
-	// number of rounds in which all of them are asked: each once in two seconds, so that
-	// every one is heard between the end of a window and its sum.
+	// number of rounds in which all of them are asked, so that the load that sizes the fleet
+	// is two seconds old at most, half of a server's boot time.
 	rollPeriod = 500 * time.Millisecond
 	rollTurns  = 4
 	// rollTimeout bounds the answer of one peer; peers of a region answer in milliseconds.
@@ -29,7 +29,7 @@
 	Instance        string                 `cbor:"1,keyasint"`
 	Incarnation     uint64                 `cbor:"2,keyasint"`
 	InFlight        map[string]int         `cbor:"3,keyasint,omitempty"`
-	TokensPerSecond float64                `cbor:"4,keyasint,omitempty"`
+	TokensPerSecond map[string]float64     `cbor:"4,keyasint,omitempty"`
 	Usage           map[int64]usage.Counts `cbor:"5,keyasint,omitempty"`
 }
 
@@ -48,7 +48,7 @@
 func (s *Site) ownRoll(now time.Time) roll {
 	return roll{
 		Instance: s.set.Instance, Incarnation: s.incarnation(), InFlight: s.inFlight(),
-		TokensPerSecond: s.tokensPerSecond(now), Usage: s.usage.Told(),
+		TokensPerSecond: s.intake.PerSecond(now), Usage: s.usage.Told(),
 	}
 }
 
@@ -56,13 +56,13 @@
 func (s *Site) runRoll(ctx context.Context) error {
 	return clock.Every(ctx, rollPeriod, func(ctx context.Context, _ time.Time) {
 		if _, held := s.leases.Held(dutyLease); held {
-			s.callRoll(ctx)
+			s.callRoll(ctx, false)
 		}
 	})
 }
 
-// callRoll asks the peers whose turn it is, all at once.
-func (s *Site) callRoll(ctx context.Context) {
+// callRoll asks the peers whose turn it is, or all of them, at once.
+func (s *Site) callRoll(ctx context.Context, all bool) {
 	s.hear(time.Now(), s.ownRoll(time.Now()))
 	ctx, cancel := context.WithTimeout(ctx, rollTimeout)
 	defer cancel()
@@ -72,7 +72,7 @@
 	s.rolls.mu.Unlock()
 	var group errgroup.Group
 	for i, address := range s.peerAddresses() {
-		if (i+turn)%rollTurns != 0 {
+		if !all && (i+turn)%rollTurns != 0 {
 			continue
 		}
 		group.Go(func() error {
@@ -123,7 +123,7 @@
 }
 
 // load adds up the load of a service over all entry instances: requests at its servers,
-// and the tokens a second that client accounts ask for. Records stand in for instances
+// and the tokens a second that are taken in. Records stand in for instances
 // that were not heard of late.
 func (s *Site) load(now time.Time, service string) (inFlight int, tokensPerSecond float64) {
 	s.mu.Lock()
@@ -136,13 +136,13 @@
 		if now.Sub(heard.at) < rollLife {
 			fresh[name] = true
 			inFlight += heard.InFlight[service]
-			tokensPerSecond += heard.TokensPerSecond
+			tokensPerSecond += heard.TokensPerSecond[service]
 		}
 	}
 	for _, r := range records {
 		if !fresh[r.instance] {
 			inFlight += r.InFlight[service]
-			tokensPerSecond += r.TokensPerSecond
+			tokensPerSecond += r.TokensPerSecond[service]
 		}
 	}
 	return inFlight, tokensPerSecond
--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -141,6 +141,7 @@
 	view       atomic.Pointer[heldView]
 	rolls      rolls
 	told       *usage.Heard
+	intake     *sizing.Intake
 	debts      debtors
 	unreached  unreached
 	callers    callers
@@ -150,7 +151,7 @@
 
 // New joins the parts of an entry instance. Nothing runs yet.
 func New(set Settings, p Platform, log *logrus.Logger, lines Lines) (*Site, error) {
-	s := &Site{set: set, platform: p, log: log, lines: lines, started: time.Now(), meters: metrics.NewSet(), listed: 1, planner: sizing.New()}
+	s := &Site{set: set, platform: p, log: log, lines: lines, started: time.Now(), meters: metrics.NewSet(), listed: 1, planner: sizing.New(), intake: sizing.NewIntake()}
 	random := rand.New(rand.NewPCG(uint64(s.started.UnixNano()), 1))
 	seeded := func() *rand.Rand { return rand.New(rand.NewPCG(random.Uint64(), random.Uint64())) }
 	var err error
@@ -173,7 +174,7 @@
 	s.leases = lease.New(lapsing{p.Store}, set.Instance+"/"+formatIncarnation(s.incarnation()), s.wantedLeases, s.leaseRank,
 		s.leaseTTL(), clock.Boot, seeded())
 	s.relay = relay.New(relay.Parts{
-		Versions: &s.keeper, Routes: s.routes, Limiter: s, Budget: s.budget, Pool: s.pool, Usage: s.usage,
+		Versions: &s.keeper, Routes: s.routes, Limiter: s, Intake: s.intake, Budget: s.budget, Pool: s.pool, Usage: s.usage,
 		Codec: p.Codec, Meters: relay.NewMeters(s.meters), Entries: s.entries, Draw: rand.Float64, Log: s.part("relay"),
 	})
 	s.overdue = s.meters.NewCounter("papayaport_caller_connections_overdue_total")
@@ -220,6 +221,7 @@
 	}
 	cancel()
 	err = group.Wait()
+	s.flushRecord()
 	if closeErr := s.peers.Close(); closeErr != nil {
 		s.part("site").WithError(closeErr).Debug("site: connections to peers not closed")
 	}
--- a/entry/site/views.go
+++ b/entry/site/views.go
@@ -1,8 +1,10 @@
 package site
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -50,6 +52,8 @@
 	configuration []byte
 	servers       []directory.Server
 	own           []platform.Entry
+	// configurationDigest and serversDigest tell whether a peer has the same.
+	configurationDigest, serversDigest uint64
 }
 
 // viewQuery asks a peer for its view. What the asking instance has already is not sent.
@@ -70,23 +74,24 @@
 	Own           []platform.Entry   `cbor:"5,keyasint,omitempty"`
 }
 
-func digestServers(servers []directory.Server) (uint64, error) {
-	data, err := cbor.Marshal(servers)
-	return xxhash.Sum64(data), errors.Wrap(err, "encode servers")
+// digest fills in the digests.
+func (h *heldView) digest() error {
+	data, err := cbor.Marshal(h.servers)
+	if err != nil {
+		return errors.Wrap(err, "encode servers")
+	}
+	h.configurationDigest, h.serversDigest = xxhash.Sum64(h.configuration), xxhash.Sum64(data)
+	return nil
 }
 
 // answerView answers a peer from the view held here.
-func (s *Site) answerView(question viewQuery) (*viewReply, error) {
+func (s *Site) answerView(question viewQuery) *viewReply {
 	held := s.view.Load()
 	if held == nil {
-		return nil, nil
+		return nil
 	}
-	digest, err := digestServers(held.servers)
-	if err != nil {
-		return nil, err
-	}
-	answer := &viewReply{AgeMS: clock.Boot().Sub(held.at).Milliseconds(), SameServers: digest == question.Servers}
-	if xxhash.Sum64(held.configuration) != question.Configuration {
+	answer := &viewReply{AgeMS: clock.Boot().Sub(held.at).Milliseconds(), SameServers: held.serversDigest == question.Servers}
+	if held.configurationDigest != question.Configuration {
 		answer.Configuration = held.configuration
 	}
 	if !answer.SameServers {
@@ -95,7 +100,7 @@
 	if question.Own {
 		answer.Own = held.own
 	}
-	return answer, nil
+	return answer
 }
 
 // runView follows the configuration, the backend servers and the other entry instances.
@@ -171,13 +176,8 @@
 	if held == nil {
 		held = &heldView{}
 	}
-	digest, err := digestServers(held.servers)
-	if err != nil {
-		s.part("directory").WithError(err).Error("directory: view not asked for")
-		return false
-	}
 	question := viewQuery{
-		Configuration: xxhash.Sum64(held.configuration), Servers: digest, Own: clock.Boot().Sub(v.ownAt) >= ownPeriod,
+		Configuration: held.configurationDigest, Servers: held.serversDigest, Own: clock.Boot().Sub(v.ownAt) >= ownPeriod,
 	}
 	for _, reader := range readers {
 		if s.unreached.lately(reader.PeerAddress) {
@@ -235,6 +235,9 @@
 		s.adopt(view.configuration, source)
 	}
 	view.servers = v.table.Listed(now, view.servers)
+	if err := view.digest(); err != nil {
+		s.part("directory").WithError(err).Error("directory: view not kept for peers")
+	}
 	s.view.Store(&view)
 	s.setServers(now, view.servers)
 }
@@ -248,8 +251,9 @@
 
 // readers returns the entry instances that read the store for this one's failure domain,
 // in the order in which this one asks them, and whether it is one of them. All instances
-// of a domain come to the same ones without a call, by the rendezvous order of those that
-// live.
+// of a domain come to the same ones without a call: of those that live the ones with the
+// most memory, since where machines differ the link grows with it, and among equals by
+// rendezvous order.
 func (s *Site) readers() (readers []membership.Member, isReader bool) {
 	domain := []membership.Member{s.self()}
 	for _, member := range s.members.Live(time.Now()) {
@@ -257,7 +261,16 @@
 			domain = append(domain, member)
 		}
 	}
+	s.mu.Lock()
+	memory := map[string]int{s.set.Instance: s.set.MemoryMB}
+	for _, r := range s.records {
+		memory[r.instance] = r.MemoryMB
+	}
+	s.mu.Unlock()
 	readers = rendezvous(domain, "view")
+	slices.SortStableFunc(readers, func(a, b membership.Member) int {
+		return cmp.Compare(memory[b.Instance], memory[a.Instance])
+	})
 	readers = readers[:min(readersPerDomain, len(readers))]
 	for _, reader := range readers {
 		isReader = isReader || reader.Instance == s.set.Instance
--- a/serving/process/directory/directory.go
+++ b/serving/process/directory/directory.go
@@ -24,20 +24,20 @@
 
 // Server is one incarnation of a backend server as it describes itself.
 type Server struct {
-	ID string
+	ID string `cbor:"1,keyasint"`
 	// Incarnation grows with every start under one id.
-	Incarnation   uint64
-	Service       string
-	Address       string
-	FailureDomain string
+	Incarnation   uint64 `cbor:"2,keyasint"`
+	Service       string `cbor:"3,keyasint"`
+	Address       string `cbor:"4,keyasint"`
+	FailureDomain string `cbor:"5,keyasint"`
 	// Slots is the number of requests that it runs at a time.
-	Slots int
+	Slots int `cbor:"6,keyasint"`
 	// Leaving tells that it takes no new work.
-	Leaving bool
+	Leaving bool `cbor:"7,keyasint,omitempty"`
 	// LeavesIn is the time it has left, 0 when it names none.
-	LeavesIn time.Duration
+	LeavesIn time.Duration `cbor:"8,keyasint,omitempty"`
 	// Reclaimable tells that the platform may take it away on short notice.
-	Reclaimable bool
+	Reclaimable bool `cbor:"9,keyasint,omitempty"`
 }
 
 // Table is what one entry instance knows of the backend servers.
--- /dev/null
+++ b/serving/process/sizing/intake_test.go
@@ -0,0 +1,28 @@
+package sizing_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"papayaport.dev/serving/process/sizing"
+)
+
+// TestIntake answers the first seconds of a load and its end: the rate is known soon, since
+// a server that is ordered late boots behind the next reclaim.
+func TestIntake(t *testing.T) {
+	intake := sizing.NewIntake()
+	const rate = 10_000
+	at := func(after time.Duration) time.Time { return start.Add(after) }
+	for after := time.Duration(0); after < 10*time.Second; after += 100 * time.Millisecond {
+		intake.Admitted(at(after), "llm", rate/10)
+		if after >= 1500*time.Millisecond {
+			require.InEpsilon(t, rate, intake.PerSecond(at(after))["llm"], 0.15, "after %v", after)
+		}
+	}
+	require.InEpsilon(t, rate/2, intake.PerSecond(at(11500 * time.Millisecond))["llm"], 0.15)
+	require.Zero(t, intake.PerSecond(at(20 * time.Second))["llm"])
+	intake.Admitted(at(21*time.Second), "llm", 3*rate)
+	require.InEpsilon(t, rate, intake.PerSecond(at(21 * time.Second))["llm"], 0.2, "one large prompt")
+}
--- a/serving/process/usage/usage.go
+++ b/serving/process/usage/usage.go
@@ -96,6 +96,18 @@
 	return ended
 }
 
+// Rest returns the windows that Ended did not return, the running one included, for a
+// process that ends.
+func (c *Counter) Rest() []Window {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var rest []Window
+	for _, number := range slices.Sorted(maps.Keys(c.windows)) {
+		rest = append(rest, Window{Number: number, Counts: c.windows[number]})
+	}
+	return rest
+}
+
 // Told returns what this process counted in the running window and the last ones, for
 // whoever adds up and can't read what this instance writes.
 func (c *Counter) Told() map[int64]Counts {
