Relay what the store holds; soak: judge by instance, longer leavings

Cause: a reader that was cut off kept servers that were gone for 2.5 s behind each view that failed, and passed them on as present with the age of its newest view. Ruled out: links of the readers (12 questions unanswered in 12 s), views that are too old (none). Change: peers get the store's view; what is kept behind an outage stays with each instance, and an instance with a fresh view of a peer is in no outage.

--- a/entry/site/views.go
+++ b/entry/site/views.go
@@ -124,7 +124,8 @@
 // look takes one look and returns the time to the next.
 func (v *viewing) look(ctx context.Context) time.Duration {
 	s := v.site
-	period := time.Duration(viewShare * float64(milliseconds(s.set.LeavingMS)))
+	usual := time.Duration(viewShare * float64(milliseconds(s.set.LeavingMS)))
+	period := usual
 	if s.entries() >= s.set.RelayedFrom {
 		readers, isReader := s.readers()
 		switch {
@@ -139,10 +140,12 @@
 		return period
 	}
 	// An instance that is cut off from the store alone lives by the views of others.
-	if v.follow(ctx, s.others(), period) {
+	if v.follow(ctx, s.others(), usual) {
 		return min(followPeriod, period)
 	}
-	v.table.Failed(begun)
+	if held := s.view.Load(); held == nil || clock.Boot().Sub(held.at) > usual {
+		v.table.Failed(begun)
+	}
 	return min(viewRetry, period)
 }
 
@@ -234,12 +237,13 @@
 	if len(view.configuration) > 0 {
 		s.adopt(view.configuration, source)
 	}
-	view.servers = v.table.Listed(now, view.servers)
+	// Peers get what the store holds; what is kept behind an outage is each instance's own
+	// affair, since not all were cut off.
 	if err := view.digest(); err != nil {
 		s.part("directory").WithError(err).Error("directory: view not kept for peers")
 	}
 	s.view.Store(&view)
-	s.setServers(now, view.servers)
+	s.setServers(now, v.table.Listed(now, view.servers))
 }
 
 // others returns a few live peers at random.
--- a/soak/command/command.go
+++ b/soak/command/command.go
@@ -139,6 +139,7 @@
 		h.From = uint64(time.Now().Unix())
 	}
 	var broken []uint64
+	var unplayed []error
 	var mu sync.Mutex
 	group := errgroup.Group{}
 	group.SetLimit(h.Jobs)
@@ -146,17 +147,25 @@
 		group.Go(func() error {
 			seed := h.From + uint64(i)
 			kept, err := h.play(out, seed, h.Size)
-			if !kept && err == nil {
-				mu.Lock()
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				unplayed = append(unplayed, err)
+			} else if !kept {
 				broken = append(broken, seed)
-				mu.Unlock()
 			}
-			return err
+			return nil
 		})
 	}
 	if err := group.Wait(); err != nil {
 		return err
 	}
+	for _, err := range unplayed {
+		fmt.Fprintln(out.out, "not played:", err)
+	}
+	if len(unplayed) > 0 {
+		return errors.Errorf("%d of %d seeds could not be played, %d broke a promise: %v", len(unplayed), h.Seeds, len(broken), broken)
+	}
 	if len(broken) > 0 {
 		return errors.Errorf("%d of %d seeds broke a promise: %v", len(broken), h.Seeds, broken)
 	}
--- a/soak/plan/plan.go
+++ b/soak/plan/plan.go
@@ -111,6 +111,11 @@
 	// shortest and longest bound a fault; the longest outlasts a duty's lease.
 	shortest = 200 * time.Millisecond
 	longest  = 7 * time.Second
+	// leastLeaving is how long a leaving server stays: longer than new work may come.
+	leastLeaving = 4 * time.Second
+	// leastPast is how long it takes at least until the store has answered from the past: a
+	// configuration spreads first, which the past lacks.
+	leastPast = 3 * time.Second
 	// mostPublished bounds the configurations of one fault.
 	mostPublished = 6
 	// mostDelay bounds the delay of a link or the store.
@@ -164,6 +169,14 @@
 		case KillBackend, DrainBackend, WrongBackend, BackendLink:
 			f.Target = r.IntN(p.Plain + p.Engines)
 		}
+		switch f.Kind {
+		case DrainBackend:
+			f.For = max(f.For, leastLeaving)
+			f.At = min(f.At, size.Length-f.For)
+		case StorePast:
+			f.For = max(f.For, leastPast)
+			f.At = min(f.At, size.Length-f.For)
+		}
 		p.Faults = append(p.Faults, f)
 	}
 	slices.SortStableFunc(p.Faults, func(a, b Fault) int { return int(a.At - b.At) })
--- a/soak/verdict/verdict.go
+++ b/soak/verdict/verdict.go
@@ -34,6 +34,16 @@
 // Span is a stretch of time.
 type Span struct{ From, To time.Time }
 
+// Every stands for all entry instances.
+const Every = -1
+
+// Blind is a time in which an entry instance, or every one, could not learn of leaving
+// servers.
+type Blind struct {
+	Entry int
+	Span
+}
+
 // Stop is a planned stop of an entry instance that nothing else disturbed.
 type Stop struct {
 	Entry int
@@ -59,10 +69,9 @@
 	// Arrivals are the sends that reached backend servers, refused ones included.
 	Arrivals []Run
 	Leaving  []Leaving
-	// Blind are the times in which an entry instance could not learn of leaving servers.
-	Blind  []Span
-	Stops  []Stop
-	Probes []Probe
+	Blind    []Blind
+	Stops    []Stop
+	Probes   []Probe
 	// Cloud is what the cloud API found wrong.
 	Cloud []string
 	// Rate and Burst are the limit of the client account in tokens, with its tolerances.
@@ -161,27 +170,41 @@
 }
 
 // leaving checks that no run begins at a server that was announced to leave. The bound
-// counts anew from the end of each time in which an instance could not learn of it.
+// counts anew from the end of each time in which the instance that sent the request could
+// not learn of it.
 func leaving(r Record) (found []string) {
+	entries := map[string]int{}
+	for _, a := range r.Answers {
+		entries[a.ID] = a.Entry
+	}
 	for _, l := range r.Leaving {
-		last := l.At
-		for changed := true; changed; {
-			changed = false
-			for _, span := range r.Blind {
-				if span.From.Before(last.Add(LeavingBound)) && span.To.After(last) {
-					last, changed = span.To, true
-				}
-			}
-		}
 		for _, run := range r.Runs {
-			if run.Server == l.Server && run.At.After(last.Add(LeavingBound+wakeSlack)) {
-				found = append(found, fmt.Sprintf("leaving: %s began at %s %v after the notice", run.ID, l.Server, run.At.Sub(l.At)))
+			entry, answered := entries[run.ID]
+			if run.Server != l.Server || !answered {
+				continue
+			}
+			if run.At.After(r.learned(entry, l.At).Add(LeavingBound + wakeSlack)) {
+				found = append(found, fmt.Sprintf("leaving: %s began at %s through entry %d, %v after the notice",
+					run.ID, l.Server, entry, run.At.Sub(l.At)))
 			}
 		}
 	}
 	return found
 }
 
+// learned returns from when on an entry instance could learn of what was announced.
+func (r Record) learned(entry int, announced time.Time) time.Time {
+	for changed := true; changed; {
+		changed = false
+		for _, b := range r.Blind {
+			if (b.Entry == entry || b.Entry == Every) && b.From.Before(announced.Add(LeavingBound)) && b.To.After(announced) {
+				announced, changed = b.To, true
+			}
+		}
+	}
+	return announced
+}
+
 // plannedStops checks that no request that ran was cut by a planned stop.
 func plannedStops(r Record) (found []string) {
 	runs := r.byID()
--- a/soak/verdict/verdict_test.go
+++ b/soak/verdict/verdict_test.go
@@ -42,6 +42,8 @@
 	cut.Err = errors.New("unexpected EOF")
 	silent := answer("1", caller.Safe, 503, "")
 	silent.RetryAfter = false
+	served := []caller.Answer{answer("1", caller.Unsafe, 200, "answer to 1")}
+	served[0].Seal = "s"
 	limit := verdict.Limit{Rate: 1000, Window: time.Second}
 	budget := verdict.Budget{Ratio: 0.2, Window: time.Second}
 	for name, test := range map[string]struct {
@@ -70,14 +72,18 @@
 		}, "not run"},
 		"refused without when to come back": {verdict.Record{Answers: []caller.Answer{silent}}, "not run"},
 		"work for a leaving server": {verdict.Record{
-			Leaving: []verdict.Leaving{{Server: "s", At: at(0)}}, Runs: []verdict.Run{run("1", "s", 2400)},
+			Leaving: []verdict.Leaving{{Server: "s", At: at(0)}}, Runs: []verdict.Run{run("1", "s", 2400)}, Answers: served,
+		}, "leaving"},
+		"work for a leaving server while another instance was cut off": {verdict.Record{
+			Leaving: []verdict.Leaving{{Server: "s", At: at(0)}}, Runs: []verdict.Run{run("1", "s", 2400)}, Answers: served,
+			Blind: []verdict.Blind{{Entry: 1, Span: verdict.Span{From: at(-1000), To: at(1000)}}},
 		}, "leaving"},
 		"work for a leaving server in time": {verdict.Record{
-			Leaving: []verdict.Leaving{{Server: "s", At: at(0)}}, Runs: []verdict.Run{run("1", "s", 1900)},
+			Leaving: []verdict.Leaving{{Server: "s", At: at(0)}}, Runs: []verdict.Run{run("1", "s", 1900)}, Answers: served,
 		}, ""},
 		"work for a leaving server behind an outage": {verdict.Record{
 			Leaving: []verdict.Leaving{{Server: "s", At: at(0)}}, Runs: []verdict.Run{run("1", "s", 2400)},
-			Blind: []verdict.Span{{From: at(-1000), To: at(1000)}},
+			Answers: served, Blind: []verdict.Blind{{Entry: verdict.Every, Span: verdict.Span{From: at(-1000), To: at(1000)}}},
 		}, ""},
 		"cut by a planned stop": {verdict.Record{
 			Answers: []caller.Answer{cut}, Runs: []verdict.Run{run("1", "s", 0)}, Stops: []verdict.Stop{{Span: verdict.Span{From: at(0), To: at(2000)}}},
--- a/soak/world/inject.go
+++ b/soak/world/inject.go
@@ -79,7 +79,7 @@
 	case plan.StoreSlow:
 		return during(func() { w.store.Delay(plan.DelayOf(f)) }, func() { w.store.Delay(0) })
 	case plan.StorePast:
-		return during(func() { w.store.Past(true) }, func() { w.store.Past(false) })
+		return w.injectPast(ctx, f)
 	case plan.StoreLoses:
 		w.store.LoseAnswers(f.Number)
 		return nil
@@ -95,6 +95,18 @@
 	return errors.Errorf("unknown kind")
 }
 
+// injectPast lets the store answer from before a configuration that is in force already.
+func (w *World) injectPast(ctx context.Context, f plan.Fault) error {
+	w.store.Remember()
+	w.publish()
+	if err := clock.Sleep(ctx, f.For/2); err != nil {
+		return err
+	}
+	w.store.Past(true)
+	defer w.store.Past(false)
+	return clock.Sleep(ctx, f.For/2)
+}
+
 func (w *World) injectProcess(ctx context.Context, f plan.Fault, hold func() error) error {
 	e := w.entries[f.Target]
 	switch f.Kind {
@@ -196,8 +208,12 @@
 	return w.backend(f.Target).link
 }
 
-// blinding are faults that keep an entry instance from what the store holds.
-var blinding = []plan.Kind{plan.PauseEntry, plan.StoreLink, plan.StoreDown, plan.StoreSlow, plan.StorePast}
+// blinding are faults that keep an entry instance from what the store holds, and general
+// those among them that do so for all of them.
+var (
+	blinding = []plan.Kind{plan.PauseEntry, plan.StoreLink, plan.StoreDown, plan.StoreSlow, plan.StorePast}
+	general  = []plan.Kind{plan.StoreDown, plan.StoreSlow, plan.StorePast}
+)
 
 // overlaps tells whether a fault, as far as it has come, overlaps a span.
 func (in *injected) overlaps(span verdict.Span) bool {
@@ -210,8 +226,7 @@
 	defer w.mu.Unlock()
 	return slices.ContainsFunc(w.faults, func(in *injected) bool {
 		own := in.Target == number && slices.Contains([]plan.Kind{plan.PauseEntry, plan.KillEntry, plan.StoreLink, plan.PeerLink}, in.Kind)
-		all := slices.Contains([]plan.Kind{plan.StoreDown, plan.StoreSlow, plan.StorePast}, in.Kind)
-		return (own || all) && in.overlaps(span)
+		return (own || slices.Contains(general, in.Kind)) && in.overlaps(span)
 	})
 }
 
@@ -243,7 +258,11 @@
 			if span.To.IsZero() {
 				span.To = time.Now()
 			}
-			r.Blind = append(r.Blind, span)
+			blind := verdict.Blind{Entry: in.Target, Span: span}
+			if slices.Contains(general, in.Kind) {
+				blind.Entry = verdict.Every
+			}
+			r.Blind = append(r.Blind, blind)
 		}
 	}
 	for _, b := range w.ever {
--- a/soak/world/world.go
+++ b/soak/world/world.go
@@ -63,9 +63,10 @@
 	// four seconds of it, as at the users' sites.
 	rate       = 20_000
 	quotaSlack = 4 * rate
-	// keptFrom is the size of fleet with a keeper of limits in every second run.
-	keptFrom   = 3
-	neverKept  = 1000
+	// largeFrom is the size from which on a fleet has a keeper of limits in every second
+	// run, and readers of the store in every third one; never is beyond all sizes.
+	largeFrom  = 3
+	never      = 1000
 	mostSeeds  = 3
 	slots      = 16
 	queue      = 64
@@ -102,6 +103,8 @@
 	storeAt string
 	cloudAt string
 	entries []*entry
+	// given are the addresses of entry instances.
+	given map[string]bool
 
 	mu       sync.Mutex
 	random   *rand.Rand
@@ -131,7 +134,7 @@
 	defer cancel()
 	w := &World{
 		life: ctx, plan: p, options: options, store: outside.NewStore(), cloud: outside.NewCloud(),
-		random: rand.New(rand.NewPCG(p.Seed, 1)), ready: make([]bool, p.Entries),
+		random: rand.New(rand.NewPCG(p.Seed, 1)), ready: make([]bool, p.Entries), given: map[string]bool{},
 	}
 	w.record.Limit = verdict.Limit{Rate: rate, Burst: rate, Window: quotaWindowS * time.Second, Overrun: quotaOverrun, Slack: quotaSlack}
 	w.record.Budget = verdict.Budget{Ratio: retryRatio, Allowance: allowance, Window: retryWindowS * time.Second}
@@ -274,18 +277,21 @@
 func (w *World) startEntries() error {
 	var settings []site.Settings
 	var seeds []string
-	kept := neverKept
+	kept, relayed := never, never
 	if w.plan.Seed%2 == 0 {
-		kept = keptFrom
+		kept = largeFrom
+	}
+	if w.plan.Seed%3 == 0 {
+		relayed = largeFrom
 	}
 	for number := range w.plan.Entries {
 		e := &entry{}
 		set := site.Settings{
 			Instance: fmt.Sprintf("entry-%d", number), Region: "r", FailureDomain: zones[number%len(zones)], FailureDomains: zones,
 			MemoryMB: memoryMB, GraceS: graceS, LeaseMS: leaseMS, LeavingMS: leavingMS,
-			Retry:  site.RetrySettings{Ratio: retryRatio, WindowS: retryWindowS, Allowance: allowance},
-			Usage:  site.UsageSettings{WindowS: usageWindowS},
-			Quota:  site.QuotaSettings{WindowS: quotaWindowS, Overrun: quotaOverrun, Slack: quotaSlack, KeptFrom: kept},
+			Retry: site.RetrySettings{Ratio: retryRatio, WindowS: retryWindowS, Allowance: allowance},
+			Usage: site.UsageSettings{WindowS: usageWindowS},
+			Quota: site.QuotaSettings{WindowS: quotaWindowS, Overrun: quotaOverrun, Slack: quotaSlack, KeptFrom: kept}, RelayedFrom: relayed,
 			Policy: "papayaport_no_price", LogLevel: "info",
 		}
 		var err error
@@ -321,9 +327,23 @@
 	return nil
 }
 
-// freeAddress returns an address that nothing listens at. Each run has a loopback address
-// of its own, so that no connection of another run takes the port meanwhile.
+// freeAddress returns an address that nothing listens at, and not the same one twice. Each
+// run has a loopback address of its own, so that no connection of another run takes the
+// port meanwhile.
 func (w *World) freeAddress() (string, error) {
+	for {
+		address, err := w.anyAddress()
+		if err != nil {
+			return "", err
+		}
+		if !w.given[address] {
+			w.given[address] = true
+			return address, nil
+		}
+	}
+}
+
+func (w *World) anyAddress() (string, error) {
 	listener, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.1:0", 1+w.plan.Seed/200%200, 1+w.plan.Seed%200))
 	if err != nil {
 		return "", errors.Wrap(err, "find a port")
--- a/standin/outside/outside.go
+++ b/standin/outside/outside.go
@@ -60,8 +60,10 @@
 	down     map[string]bool
 	lost     int
 	delay    time.Duration
-	past     []Item
-	calls    map[string]int
+	past     bool
+	// remembered is what the store answers with from the past.
+	remembered []Item
+	calls      map[string]int
 }
 
 // NewStore returns an empty store.
@@ -123,18 +125,19 @@
 	s.delay = delay
 }
 
-// Past makes reads of many keys answer with what the store holds now, until it is told
-// to show the present again.
+// Remember keeps what the store holds now for Past.
+func (s *Store) Remember() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.remembered = slices.Collect(maps.Values(s.items))
+}
+
+// Past makes reads of many keys answer with what was remembered, or with the present
+// again.
 func (s *Store) Past(past bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.past = nil
-	if past {
-		s.past = []Item{}
-		for _, item := range s.items {
-			s.past = append(s.past, item)
-		}
-	}
+	s.past = past && s.remembered != nil
 }
 
 // Calls returns the number of calls by path.
@@ -267,8 +270,8 @@
 
 func (s *Store) page(prefix, after string) any {
 	var items []Item
-	held := s.past
-	if held == nil {
+	held := s.remembered
+	if !s.past {
 		held = slices.Collect(maps.Values(s.items))
 	}
 	for _, item := range held {
