--- a/entry/site/exchange.go
+++ b/entry/site/exchange.go
@@ -1,10 +1,14 @@
 package site
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"papayaport.dev/serving/connection/peer"
 	"papayaport.dev/serving/process/lease"
 	"papayaport.dev/serving/process/membership"
@@ -45,6 +49,13 @@
 	}
 }
 
+// rendezvous sorts entry instances by their rank for a key (Thaler and Ravishankar, 1998).
+func rendezvous(members []membership.Member, key string) []membership.Member {
+	rank := func(m membership.Member) uint64 { return xxhash.Sum64String(m.PeerAddress + "\x00" + key) }
+	slices.SortFunc(members, func(a, b membership.Member) int { return cmp.Compare(rank(b), rank(a)) })
+	return members
+}
+
 // handler answers the calls of other entry instances. Requests are neither kept nor
 // handed over here: their answers are opaque.
 type handler struct{ s *Site }
--- a/entry/site/limits.go
+++ b/entry/site/limits.go
@@ -1,16 +1,9 @@
 package site
 
 import (
-	"cmp"
 	"context"
-	"slices"
-	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-	"github.com/fxamacker/cbor/v2"
-	"github.com/pkg/errors"
-
 	"papayaport.dev/serving/process/membership"
 	"papayaport.dev/serving/process/problem"
 	"papayaport.dev/serving/request/admission"
@@ -26,34 +19,8 @@
 	// keeperTimeout bounds the call to one of them; peers of a region answer in a few
 	// milliseconds.
 	keeperTimeout = 200 * time.Millisecond
-	// unreachedFor is how long a keeper that did not answer is passed over.
-	unreachedFor = 3 * time.Second
 )
 
-// query is a question of one entry instance to another: one of its fields is set.
-type query struct {
-	// Lend asks for unused tokens.
-	Lend *admission.Debt `cbor:"1,keyasint,omitempty"`
-	// Admit asks the keeper of a limit to charge a request.
-	Admit *admission.Ask `cbor:"2,keyasint,omitempty"`
-	// Roll asks for load and counts.
-	Roll bool `cbor:"3,keyasint,omitempty"`
-	// View asks for the view of the store.
-	View *viewQuery `cbor:"4,keyasint,omitempty"`
-}
-
-// reply is the answer.
-type reply struct {
-	Lent     float64 `cbor:"1,keyasint,omitempty"`
-	Refused  bool    `cbor:"2,keyasint,omitempty"`
-	Detail   string  `cbor:"3,keyasint,omitempty"`
-	RetryMS  int64   `cbor:"4,keyasint,omitempty"`
-	NotKnown bool    `cbor:"5,keyasint,omitempty"`
-	Roll     *roll   `cbor:"6,keyasint,omitempty"`
-
-	View *viewReply `cbor:"7,keyasint,omitempty"`
-}
-
 // Admit charges a request to its account. In a small fleet each entry instance has a part
 // of the limit; in a large one a keeper has the whole.
 func (s *Site) Admit(ctx context.Context, id, account string, tokens int) error {
@@ -129,48 +96,6 @@
 	return listed[:min(keepers, len(listed))]
 }
 
-// rendezvous sorts entry instances by their rank for a key (Thaler and Ravishankar, 1998).
-func rendezvous(members []membership.Member, key string) []membership.Member {
-	rank := func(m membership.Member) uint64 { return xxhash.Sum64String(m.PeerAddress + "\x00" + key) }
-	slices.SortFunc(members, func(a, b membership.Member) int { return cmp.Compare(rank(b), rank(a)) })
-	return members
-}
-
-func (s *Site) askPeer(ctx context.Context, address string, question query) (reply, error) {
-	var answered reply
-	data, err := cbor.Marshal(question)
-	if err != nil {
-		return answered, errors.Wrap(err, "encode query")
-	}
-	answer, err := s.peers.Action(ctx, address, data)
-	if err != nil {
-		return answered, err
-	}
-	return answered, errors.Wrap(cbor.Unmarshal(answer, &answered), "decode reply")
-}
-
-// Action answers a question of another entry instance.
-func (h *handler) Action(_ context.Context, data []byte) ([]byte, error) {
-	var question query
-	if err := cbor.Unmarshal(data, &question); err != nil {
-		return nil, errors.Wrap(err, "decode query")
-	}
-	var answered reply
-	switch {
-	case question.Lend != nil:
-		answered.Lent = h.s.admission.Lend(time.Now(), *question.Lend)
-	case question.Admit != nil:
-		answered = h.s.keep(*question.Admit)
-	case question.Roll:
-		own := h.s.ownRoll(time.Now())
-		answered.Roll = &own
-	case question.View != nil:
-		answered.View = h.s.answerView(*question.View)
-	}
-	answer, err := cbor.Marshal(answered)
-	return answer, errors.Wrap(err, "encode reply")
-}
-
 // keep charges a request of another entry instance to an account that is kept here.
 func (s *Site) keep(ask admission.Ask) reply {
 	refusal := charge(s.kept, ask)
@@ -182,24 +107,3 @@
 	}
 	return reply{Refused: true, Detail: refusal.Detail, RetryMS: refusal.RetryAfter.Milliseconds()}
 }
-
-// unreached remembers keepers that did not answer.
-type unreached struct {
-	mu sync.Mutex
-	at map[string]time.Time
-}
-
-func (u *unreached) lately(address string) bool {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	return time.Since(u.at[address]) < unreachedFor
-}
-
-func (u *unreached) note(address string) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	if u.at == nil {
-		u.at = map[string]time.Time{}
-	}
-	u.at[address] = time.Now()
-}
--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -138,15 +138,19 @@
 	record     recordKeeper
 	planner    *sizing.Planner
 	contacts   contacts
-	view       atomic.Pointer[heldView]
-	rolls      rolls
-	told       *usage.Heard
-	intake     *sizing.Intake
-	debts      debtors
-	unreached  unreached
-	callers    callers
-	overdue    *metrics.Counter
-	lines      Lines
+	// view is the last view of the store, read here or by a peer.
+	view atomic.Pointer[heldView]
+	// rolls holds what the other instances told of their load, and told their counts; both
+	// are filled while this instance holds the duties.
+	rolls     rolls
+	told      *usage.Heard
+	intake    *sizing.Intake
+	debts     debtors
+	unreached unreached
+	callers   callers
+	// overdue counts callers' connections that were closed over a limit.
+	overdue *metrics.Counter
+	lines   Lines
 }
 
 // New joins the parts of an entry instance. Nothing runs yet.
