--- a/soak/verdict/verdict.go
+++ b/soak/verdict/verdict.go
@@ -96,9 +96,11 @@
 
 // Bounds of the promises that are times.
 const (
-	// LeavingBound is within which a leaving server gets no new work.
+	// LeavingBound is within which a leaving server gets no new work: drain_ms of the users'
+	// first sites.
 	LeavingBound = 2 * time.Second
-	// VersionBound is within which a version is in force everywhere.
+	// VersionBound is within which a version is in force everywhere: config_apply_ms of the
+	// users' sites.
 	VersionBound = 3 * time.Second
 	// wakeSlack is the time for a process that was held up to go on, and for a request
 	// between the choice of its server and its arrival there.
--- a/soak/world/world.go
+++ b/soak/world/world.go
@@ -47,29 +47,39 @@
 	Violations []string `json:"violations,omitempty"`
 }
 
-// What the entry instances are told; the shapes are those of the users' first sites.
+// What the entry instances are told. Budget, tolerances and the time for leaving servers are
+// those of the users' first sites; grace, lease and usage windows are shorter, so that each
+// comes several times in a run.
 const (
-	graceS       = 6
-	memoryMB     = 284
-	leaseMS      = 1500
-	leavingMS    = 2000
-	usageWindowS = 2
-	retryRatio   = 0.2
-	retryWindowS = 10
-	allowance    = 56
-	quotaWindowS = 8
-	quotaOverrun = 0.1
-	// rate is the client account's limit in tokens a second, and quotaSlack the tolerance:
-	// four seconds of it, as at the users' sites.
+	graceS       = 6    // seconds
+	memoryMB     = 284  // of the users' smaller machines
+	leaseMS      = 1500 // milliseconds
+	leavingMS    = 2000 // milliseconds
+	usageWindowS = 2    // seconds
+	retryRatio   = 0.2  // repeats for each request
+	retryWindowS = 10   // seconds
+	allowance    = 56   // repeats in a window besides
+	quotaWindowS = 8    // seconds
+	quotaOverrun = 0.1  // share of the limit
+	// rate is the client account's limit in tokens a second, about what callers ask for in
+	// the larger runs, and quotaSlack the tolerance: four seconds of it, as at the users'
+	// sites.
 	rate       = 20_000
 	quotaSlack = 4 * rate
 	// largeFrom is the size from which on a fleet has a keeper of limits in every second
 	// run, and readers of the store in every third one; never is beyond all sizes.
-	largeFrom  = 3
-	never      = 1000
-	mostSeeds  = 3
-	slots      = 16
-	queue      = 64
+	largeFrom = 3
+	never     = 1000
+)
+
+// The shapes around them.
+const (
+	// mostSeeds is the number of peers that each entry instance is told of.
+	mostSeeds = 3
+	// slots and queue are the requests that a backend server runs and holds.
+	slots = 16
+	queue = 64
+	// streamSize is the number of events of a stream.
 	streamSize = 20
 )
 
