--- a/soak/verdict/verdict.go
+++ b/soak/verdict/verdict.go
@@ -100,8 +100,8 @@
 	// first sites.
 	LeavingBound = 2 * time.Second
 	// VersionBound is within which a version is in force everywhere: config_apply_ms of the
-	// users' sites.
-	VersionBound = 3 * time.Second
+	// users' first sites.
+	VersionBound = 2 * time.Second
 	// wakeSlack is the time for a process that was held up to go on, and for a request
 	// between the choice of its server and its arrival there.
 	wakeSlack = 300 * time.Millisecond
@@ -234,7 +234,7 @@
 		if highest[one] >= p.Version {
 			found = append(found, fmt.Sprintf("configuration: entry %d went back behind version %d", p.Entry, p.Version))
 		}
-		if p.Calm && p.At.Sub(p.Accepted) > VersionBound {
+		if p.Calm && p.At.Sub(p.Accepted) > VersionBound+wakeSlack {
 			found = append(found, fmt.Sprintf("configuration: entry %d lacks version %d after %v", p.Entry, p.Version, p.At.Sub(p.Accepted)))
 		}
 	}
--- a/soak/verdict/verdict_test.go
+++ b/soak/verdict/verdict_test.go
@@ -89,10 +89,10 @@
 			Answers: []caller.Answer{cut}, Runs: []verdict.Run{run("1", "s", 0)}, Stops: []verdict.Stop{{Span: verdict.Span{From: at(0), To: at(2000)}}},
 		}, "planned stop"},
 		"a version that is late": {verdict.Record{
-			Probes: []verdict.Probe{{At: at(3100), Version: 3, Accepted: at(0), Calm: true}},
+			Probes: []verdict.Probe{{At: at(2400), Version: 3, Accepted: at(0), Calm: true}},
 		}, "lacks version 3"},
 		"a version that is late behind an outage": {verdict.Record{
-			Probes: []verdict.Probe{{At: at(3100), Version: 3, Accepted: at(0)}},
+			Probes: []verdict.Probe{{At: at(2400), Version: 3, Accepted: at(0)}},
 		}, ""},
 		"a version that went back": {verdict.Record{
 			Probes: []verdict.Probe{{At: at(100), Version: 3, Known: true}, {At: at(200), Version: 3}},
