--- /dev/null
+++ b/entry/site/roll_test.go
@@ -0,0 +1,70 @@
+package site
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"papayaport.dev/serving/process/membership"
+	"papayaport.dev/serving/process/platform"
+)
+
+// TestLoad adds up what was heard of late, and records of those that were not heard.
+func TestLoad(t *testing.T) {
+	now := time.Now()
+	told := func(name string, inFlight int, tokens float64) roll {
+		return roll{Instance: name, InFlight: map[string]int{"llm": inFlight}, TokensPerSecond: map[string]float64{"llm": tokens}}
+	}
+	for name, test := range map[string]struct {
+		heard     map[time.Duration]roll // by age
+		inFlight  int
+		perSecond float64
+	}{
+		"records only":   {nil, 7, 700},
+		"one heard":      {map[time.Duration]roll{time.Second: told("one", 10, 1000)}, 10 + 4, 1000 + 400},
+		"heard long ago": {map[time.Duration]roll{time.Minute: told("one", 10, 1000)}, 7, 700},
+		"without record": {map[time.Duration]roll{time.Second: told("three", 10, 1000)}, 7 + 10, 700 + 1000},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newTestSite(t)
+			s.setEntries([]platform.Entry{
+				{Key: entriesPrefix + "one", Value: []byte(`{"in_flight": {"llm": 3}, "intake": {"llm": 300}}`)},
+				{Key: entriesPrefix + "two", Value: []byte(`{"in_flight": {"llm": 4, "app": 1}, "intake": {"llm": 400}}`)},
+			})
+			for age, one := range test.heard {
+				s.hear(now.Add(-age), one)
+			}
+			inFlight, perSecond := s.load(now, "llm")
+			require.Equal(t, test.inFlight, inFlight)
+			require.InDelta(t, test.perSecond, perSecond, 0.1)
+		})
+	}
+}
+
+// TestReaders picks the instances of a failure domain with the most memory.
+func TestReaders(t *testing.T) {
+	s := newTestSite(t) // "e" in domain a, 284 MB
+	record := func(name, domain, memory string) platform.Entry {
+		return platform.Entry{Key: entriesPrefix + name, Value: []byte(`{"incarnation": 1, "region": "r", "failure_domain": "` +
+			domain + `", "peer_address": "10.0.0.9:` + memory + `", "memory_mb": ` + memory + `}`)}
+	}
+	s.setEntries([]platform.Entry{record("small", "a", "184"), record("large", "a", "536"), record("larger", "a", "600"), record("other", "b", "900")})
+	for _, name := range []string{"small", "large", "larger", "other"} {
+		domain := "a"
+		if name == "other" {
+			domain = "b"
+		}
+		memory := map[string]string{"small": "184", "large": "536", "larger": "600", "other": "900"}[name]
+		s.members.Receive(time.Now(), membership.Message{From: membership.Member{
+			Instance: name, Incarnation: 1, Region: "r", FailureDomain: domain, PeerAddress: "10.0.0.9:" + memory,
+		}})
+	}
+	readers, isReader := s.readers()
+	require.False(t, isReader)
+	var names []string
+	for _, reader := range readers {
+		names = append(names, reader.Instance)
+	}
+	require.ElementsMatch(t, []string{"large", "larger"}, names)
+}
