More readers where a failure domain has more than 40 instances

At 380 instances in four failure domains 93 would ask two readers 310 times a second. One reads for each 20 then. Test: TestReaders.

--- a/entry/site/roll_test.go
+++ b/entry/site/roll_test.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -67,4 +68,12 @@
 		names = append(names, reader.Instance)
 	}
 	require.ElementsMatch(t, []string{"large", "larger"}, names)
+
+	for i := range 60 {
+		s.members.Receive(time.Now(), membership.Message{From: membership.Member{
+			Instance: fmt.Sprintf("more-%d", i), Incarnation: 1, Region: "r", FailureDomain: "a", PeerAddress: fmt.Sprintf("10.0.1.%d:1", i),
+		}})
+	}
+	readers, _ = s.readers()
+	require.Len(t, readers, 3, "of 64 in the domain")
 }
--- a/entry/site/views.go
+++ b/entry/site/views.go
@@ -33,9 +33,11 @@
 	// ownPeriod is the time between two transfers of the entry instances' own keys, which
 	// change with each usage window.
 	ownPeriod = 5 * time.Second
-	// readersPerDomain is the number of instances of a failure domain that read the store
-	// for the others: one may stop or be cut off.
+	// readersPerDomain is the least number of instances of a failure domain that read the
+	// store for the others: one may stop or be cut off.
 	readersPerDomain = 2
+	// followersPerReader bounds the instances that ask one reader, 70 questions a second.
+	followersPerReader = 20
 	// askedAtLoss is the number of peers that are asked while the store can't be read; most
 	// have a view when only this instance is cut off.
 	askedAtLoss = 3
@@ -275,7 +277,8 @@
 	slices.SortStableFunc(readers, func(a, b membership.Member) int {
 		return cmp.Compare(memory[b.Instance], memory[a.Instance])
 	})
-	readers = readers[:min(readersPerDomain, len(readers))]
+	count := max(readersPerDomain, len(domain)/followersPerReader)
+	readers = readers[:min(count, len(readers))]
 	for _, reader := range readers {
 		isReader = isReader || reader.Instance == s.set.Instance
 	}
