Never pass a request on from a connection that is being closed

Cause: between the decision to close a connection over its limit and the close, its request could be read and passed on to a server; the caller would lose an answer that was being made. Change: connections are marked before they are closed, and a request on a marked one is not passed on.

--- a/entry/site/callers.go
+++ b/entry/site/callers.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -15,6 +16,9 @@
 	mu sync.Mutex
 	// since is when each connection was opened or answered last.
 	since map[net.Conn]unused
+	// closing holds connections that are being closed: a request that is read from one at
+	// the same moment must not be passed on, since its answer could not be given.
+	closing map[net.Conn]bool
 }
 
 type unused struct {
@@ -23,23 +27,50 @@
 	isNew bool
 }
 
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
+// attach joins the table to the callers' server.
+func (c *callers) attach(server *http.Server) {
+	server.ConnState = c.note
+	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+		return context.WithValue(ctx, connKey{}, conn)
+	}
+	handler := server.Handler
+	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if conn, _ := r.Context().Value(connKey{}).(net.Conn); c.isClosing(conn) {
+			panic(http.ErrAbortHandler) // net/http closes the connection without an answer
+		}
+		handler.ServeHTTP(w, r)
+	})
+}
+
 // note is the ConnState hook of the callers' server.
 func (c *callers) note(conn net.Conn, state http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if state == http.StateClosed {
+		delete(c.closing, conn)
+	}
 	if state != http.StateNew && state != http.StateIdle {
 		delete(c.since, conn)
 		return
 	}
 	if c.since == nil {
-		c.since = map[net.Conn]unused{}
+		c.since, c.closing = map[net.Conn]unused{}, map[net.Conn]bool{}
 	}
 	c.since[conn] = unused{at: time.Now(), isNew: state == http.StateNew}
 }
 
+func (c *callers) isClosing(conn net.Conn) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closing[conn]
+}
+
 // overdue returns the connections that stayed without a whole head of a request for longer
-// than allowed. One that was used before may begin a head at the end of its idle time, and
-// has the time for a head on top.
+// than allowed, and marks them as closing. One that was used before may begin a head at
+// the end of its idle time, and has the time for a head on top.
 func (c *callers) overdue(now time.Time, limits deployment.Limits) []net.Conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -53,6 +84,7 @@
 		}
 		if limit > 0 && now.Sub(since.at) > limit {
 			delete(c.since, conn)
+			c.closing[conn] = true
 			conns = append(conns, conn)
 		}
 	}
--- a/entry/site/serve.go
+++ b/entry/site/serve.go
@@ -54,7 +54,7 @@
 		return err
 	})
 	l := &listeners{callers: newServer(s.relay), ready: newServer(http.HandlerFunc(s.answerReady))}
-	l.callers.ConnState = s.callers.note
+	s.callers.attach(l.callers)
 	if err := serve(group, l.callers, s.set.Callers); err != nil {
 		return nil, err
 	}
