Soak: the stand-in speaks the platform's dialect; an interrupted run breaks nothing

Names of the platform stood in soak/caller and soak/world; they are in standin/outside now, beside the other half of that dialect. No check changed.

--- a/soak/caller/caller.go
+++ b/soak/caller/caller.go
@@ -16,6 +16,8 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"papayaport.dev/standin/outside"
 )
 
 // Names of the configuration that the soak publishes.
@@ -110,15 +112,13 @@
 		return err
 	}
 	request.Host = Host
-	request.Header.Set("X-Papayaport-Attempt-Id", answer.ID)
-	request.Header.Set("X-Papayaport-Deadline-Ms", fmt.Sprint(Wait.Milliseconds()))
-	request.Header.Set("X-Api-Key", cmp.Or(answer.Key, Key))
+	outside.Mark(request, answer.ID, cmp.Or(answer.Key, Key), Wait)
 	response, err := c.client.Do(request)
 	if err != nil {
 		return err
 	}
 	defer response.Body.Close()
-	answer.Status, answer.Seal = response.StatusCode, response.Header.Get("X-Papayaport-Server-Seal")
+	answer.Status, answer.Seal = response.StatusCode, outside.SealOf(response.Header)
 	answer.RetryAfter = response.Header.Get("Retry-After") != ""
 	data, err := io.ReadAll(response.Body)
 	answer.Body = string(data)
--- a/soak/command/command.go
+++ b/soak/command/command.go
@@ -145,6 +145,9 @@
 	group.SetLimit(h.Jobs)
 	for i := range h.Seeds {
 		group.Go(func() error {
+			if out.ctx.Err() != nil {
+				return errors.New("interrupted")
+			}
 			seed := h.From + uint64(i)
 			kept, err := h.play(out, seed, h.Size)
 			mu.Lock()
--- a/soak/link/link.go
+++ b/soak/link/link.go
@@ -48,7 +48,7 @@
 	}
 	l := &Link{Address: listener.Addr().String(), target: target, conns: map[*net.TCPConn]bool{}}
 	context.AfterFunc(ctx, func() {
-		_ = listener.Close()
+		_ = listener.Close() // closed once
 		l.Reset()
 	})
 	go l.accept(listener)
@@ -130,6 +130,7 @@
 	delete(l.conns, near)
 	delete(l.conns, far)
 	l.mu.Unlock()
+	// A reset may have closed them before.
 	_ = near.Close()
 	_ = far.Close()
 }
@@ -160,7 +161,7 @@
 				reset(to)
 				return
 			}
-			_ = to.CloseWrite()
+			_ = to.CloseWrite() // the other direction may have ended it
 			return
 		}
 	}
--- a/soak/world/inject.go
+++ b/soak/world/inject.go
@@ -161,7 +161,7 @@
 			return err
 		}
 		b.Stop()
-		w.store.Delete("servers/" + id)
+		b.Unregister()
 		id = fmt.Sprintf("%s-%d", id, b.life)
 		return w.startBackend(f.Target, id)
 	}
--- a/soak/world/play.go
+++ b/soak/world/play.go
@@ -227,6 +227,9 @@
 func (w *World) recover(ctx context.Context) error {
 	end := time.Now().Add(recoveryBound)
 	if err := w.untilReady(ctx, recoveryBound); err != nil {
+		if ctx.Err() != nil {
+			return err // the soak was interrupted
+		}
 		return broken("recovery: %v", err)
 	}
 	for number, e := range w.entries {
@@ -241,6 +244,9 @@
 			switch {
 			case answer.Err == nil && answer.Status == http.StatusOK:
 				served++
+			case ctx.Err() != nil:
+				c.Close()
+				return ctx.Err() // the soak was interrupted
 			case time.Now().After(end):
 				c.Close()
 				return broken("recovery: entry %d answers %d, %v (%s, %s)", number, answer.Status, answer.Err, answer.ID, answer.Kind)
--- a/soak/world/world.go
+++ b/soak/world/world.go
@@ -11,7 +11,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -79,6 +78,9 @@
 	// slots and queue are the requests that a backend server runs and holds.
 	slots = 16
 	queue = 64
+	// connections bounds those to a backend server, cacheTokens what an engine keeps.
+	connections = 200
+	cacheTokens = 100_000
 	// streamSize is the number of events of a stream.
 	streamSize = 20
 )
@@ -123,7 +125,7 @@
 	ever     []*backend
 	version  int
 	accepted time.Time
-	routes   []map[string]any
+	routes   []outside.Route
 	faults   []*injected
 	ready    []bool
 	// claimed are the places that a fault ends and starts.
@@ -203,20 +205,22 @@
 	return w.startEntries()
 }
 
-func route(name string, kind caller.Kind) map[string]any {
-	r := map[string]any{
-		"name": name, "host": caller.Host, "prefix": "/" + name + "/", "timeout_ms": caller.Wait.Milliseconds(),
-		"target_latency_ms": 200, "priority": 1, "service": "app", "max_attempts": 1,
+// target is the time in which an answer should begin: that of the users' plain services.
+const target = 200 * time.Millisecond
+
+func route(name string, kind caller.Kind) outside.Route {
+	r := outside.Route{
+		Name: name, Host: caller.Host, Prefix: "/" + name + "/", Wait: caller.Wait, Target: target, Service: "app", Attempts: 1,
 	}
 	switch kind {
 	case caller.Safe:
-		r["route_type"], r["max_attempts"] = "safe", 2
+		r.Kind, r.Attempts = outside.SafeKind, 2
 	case caller.Unsafe:
-		r["route_type"] = "unsafe"
+		r.Kind = outside.UnsafeKind
 	case caller.Stream:
-		r["route_type"], r["service"] = "streaming", "llm"
+		r.Kind, r.Service = outside.StreamingKind, "llm"
 	case caller.Resume:
-		r["route_type"], r["service"], r["resumable"], r["max_attempts"] = "streaming", "llm", true, 3
+		r.Kind, r.Service, r.Resumable, r.Attempts = outside.StreamingKind, "llm", true, 3
 	}
 	return r
 }
@@ -230,22 +234,21 @@
 	defer w.mu.Unlock()
 	w.version += 1 + w.random.IntN(3)
 	w.routes = append(w.routes, route(versionRoute(w.version), caller.Safe))
-	config, err := json.Marshal(map[string]any{
-		"version": w.version, "routes": w.routes,
-		"services": []map[string]any{
-			{"name": "app", "max_connections": 200},
-			{"name": "llm", "max_connections": 200, "engine": map[string]any{"slots": slots, "kv_capacity_tokens": 100_000, "stride": 2}},
+	err := w.store.Publish(outside.Configuration{
+		Version: w.version, Routes: w.routes,
+		Services: []outside.Service{
+			{Name: "app", Connections: connections},
+			{Name: "llm", Connections: connections, Slots: slots, CacheTokens: cacheTokens},
+		},
+		Accounts: []outside.Account{
+			{Name: caller.Account, Key: caller.Key, TokensPerSecond: rate, Burst: rate, PlainTokens: caller.PlainTokens},
+			{Name: caller.FreeAccount, Key: caller.FreeKey},
 		},
-		"limits": map[string]any{"max_body_bytes": 100_000, "max_header_bytes": 8192, "header_timeout_ms": 3000, "idle_timeout_ms": 15_000},
-		"tenants": []map[string]any{{
-			"name": caller.Account, "api_keys": []string{caller.Key}, "unit": "tokens",
-			"uncached_tokens": caller.PlainTokens, "rate_per_s": rate, "burst": rate,
-		}, {"name": caller.FreeAccount, "api_keys": []string{caller.FreeKey}}},
+		Limits: outside.Limits{BodyBytes: 100_000, HeaderBytes: 8192, HeaderTime: 3 * time.Second, IdleTime: 15 * time.Second},
 	})
 	if err != nil {
-		panic(err) // a map of plain values always encodes
+		panic(err) // plain values always encode
 	}
-	w.store.Put("op/config", config)
 	w.accepted = time.Now()
 }
 
--- a/standin/outside/server.go
+++ b/standin/outside/server.go
@@ -133,6 +133,9 @@
 	b.store.Put("servers/"+b.ID, entry)
 }
 
+// Unregister removes the server's entry.
+func (b *Backend) Unregister() { b.store.Delete("servers/" + b.ID) }
+
 // Drain announces that the server leaves. It goes on serving.
 func (b *Backend) Drain() {
 	b.mu.Lock()
