Log who decided on an account's limit, and the limits themselves

The logs of a request did not tell which instance had granted it and out of what, and no line told the limit. A request's line has limited_by (a keeper by name, or the instance's own part), the line of a keeper that did not answer names it, and a version that changes an account's limit leaves a line for the account. No decision changed.

--- a/entry/relay/run.go
+++ b/entry/relay/run.go
@@ -65,6 +65,7 @@
 
 	// What the log line tells besides.
 	status    int
+	limitedBy string
 	kind      problem.Kind
 	detail    string
 	backend   string
@@ -122,7 +123,8 @@
 // admit checks the limits of the client account.
 func (r *run) admit(ctx context.Context) error {
 	if r.account != nil && (r.account.TokensPerSecond > 0 || r.account.RequestsPerSecond > 0) {
-		err := r.relay.Limiter.Admit(ctx, r.relay.attemptID(r.call), r.account.Name, r.tokens())
+		var err error
+		r.limitedBy, err = r.relay.Limiter.Admit(ctx, r.relay.attemptID(r.call), r.account.Name, r.tokens())
 		if err != nil {
 			return err
 		}
@@ -366,6 +368,9 @@
 	if r.account != nil {
 		fields["tokens"] = r.tokens()
 	}
+	if r.limitedBy != "" {
+		fields["limited_by"] = r.limitedBy
+	}
 	if r.firstByte > 0 {
 		fields["first_ms"] = r.firstByte.Milliseconds()
 	}
--- a/entry/site/configuration.go
+++ b/entry/site/configuration.go
@@ -25,10 +25,11 @@
 		log.WithError(err).Error("configuration: unreadable, the one in force stays")
 		return
 	}
-	version := deployment.New(decoded)
+	version, before := deployment.New(decoded), s.keeper.Current()
 	if !s.keeper.Adopt(deployment.Held{Version: version, Raw: raw}) {
 		return
 	}
+	logLimits(log, before, version)
 	limits := s.accountLimits(version)
 	s.admission.SetServices(time.Now(), version.Version, limits)
 	s.kept.SetServices(time.Now(), version.Version, limits)
@@ -41,6 +42,28 @@
 	}).Info("configuration: in force")
 }
 
+// logLimits writes a line for each client account whose limit is not that of the version
+// before.
+func logLimits(log *logrus.Entry, before, now *deployment.Version) {
+	type limit struct{ tokens, burst, requests float64 }
+	known := map[string]limit{}
+	if before != nil {
+		for _, a := range before.Accounts {
+			known[a.Name] = limit{a.TokensPerSecond, a.TokenBurst, a.RequestsPerSecond}
+		}
+	}
+	for _, a := range now.Accounts {
+		l := limit{a.TokensPerSecond, a.TokenBurst, a.RequestsPerSecond}
+		if old, found := known[a.Name]; found && old == l {
+			continue
+		}
+		log.WithFields(logrus.Fields{
+			"account": a.Name, "version": now.Version, "tokens_per_second": l.tokens, "token_burst": l.burst,
+			"requests_per_second": l.requests,
+		}).Info("configuration: limit of an account")
+	}
+}
+
 // accountLimits gives the limits of client accounts the form of one service file, since
 // they hold over all services.
 func (s *Site) accountLimits(version *deployment.Version) []*service.File {
--- a/entry/site/limits.go
+++ b/entry/site/limits.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"papayaport.dev/serving/process/membership"
 	"papayaport.dev/serving/process/problem"
 	"papayaport.dev/serving/request/admission"
@@ -19,25 +21,27 @@
 	// keeperTimeout bounds the call to one of them; peers of a region answer in a few
 	// milliseconds.
 	keeperTimeout = 200 * time.Millisecond
+	// ownPart names this instance's part of a limit in the log.
+	ownPart = "own part"
 )
 
 // Admit charges a request to its account. In a small fleet each entry instance has a part
 // of the limit; in a large one a keeper has the whole.
-func (s *Site) Admit(ctx context.Context, id, account string, tokens int) error {
+func (s *Site) Admit(ctx context.Context, id, account string, tokens int) (decidedBy string, err error) {
 	ask := admission.Ask{RequestID: id, Service: accountsService, Account: account, Tokens: tokens}
 	if s.entries() >= s.set.Quota.KeptFrom {
-		if asked, err := s.askKeepers(ctx, ask); asked {
-			return err
+		if keeper, err := s.askKeepers(ctx, ask); keeper != "" {
+			return "keeper " + keeper, err
 		}
 	}
-	err := charge(s.admission, ask)
-	if err != nil && s.payOne(ctx, account) {
-		err = charge(s.admission, ask)
+	refusal := charge(s.admission, ask)
+	if refusal != nil && s.payOne(ctx, account) {
+		refusal = charge(s.admission, ask)
 	}
-	if err != nil {
-		return err
+	if refusal != nil {
+		return ownPart, refusal
 	}
-	return nil
+	return ownPart, nil
 }
 
 // charge asks a table and gives the place back at once: only rates are limited here.
@@ -50,15 +54,15 @@
 	return nil
 }
 
-// askKeepers asks the keepers of an account in their order. Without an answer this
-// instance falls back to its own part.
-func (s *Site) askKeepers(ctx context.Context, ask admission.Ask) (answered bool, err error) {
+// askKeepers asks the keepers of an account in their order and returns the one that
+// decided. Without an answer this instance falls back to its own part.
+func (s *Site) askKeepers(ctx context.Context, ask admission.Ask) (decided string, err error) {
 	for _, keeper := range s.keepersOf(ask.Account) {
 		if keeper.PeerAddress == s.set.AdvertisedPeers {
 			if refusal := charge(s.kept, ask); refusal != nil {
-				return true, refusal
+				return keeper.Instance, refusal
 			}
-			return true, nil
+			return keeper.Instance, nil
 		}
 		if s.unreached.lately(keeper.PeerAddress) {
 			continue
@@ -68,18 +72,18 @@
 		cancel()
 		if err != nil {
 			s.unreached.note(keeper.PeerAddress)
-			s.part("limits").WithError(err).WithField("account", ask.Account).Warn("limits: keeper did not answer")
+			s.part("limits").WithError(err).WithFields(logrus.Fields{"account": ask.Account, "keeper": keeper.Instance}).Warn("limits: keeper did not answer")
 			continue
 		}
 		switch {
 		case answered.NotKnown:
 			continue
 		case answered.Refused:
-			return true, problem.New(problem.AccountLimit, "%s", answered.Detail).After(time.Duration(answered.RetryMS) * time.Millisecond)
+			return keeper.Instance, problem.New(problem.AccountLimit, "%s", answered.Detail).After(time.Duration(answered.RetryMS) * time.Millisecond)
 		}
-		return true, nil
+		return keeper.Instance, nil
 	}
-	return false, nil
+	return "", nil
 }
 
 // keepersOf returns the first entry instances in an account's order among those that the
