Keep limits of large fleets in pools of what instances earned

Cause: an account's keeper had the whole limit, and so had the second keeper; an instance that got no answer from the first within 200 ms asked the second, and then its own part on top of both. Who keeps a limit was each instance's own belief, and every belief came with a full bucket. While a failure domain was cut off, the keeper granted 2.05 million tokens a second to its side (its limit) and the second 1.60 million to the other; while instances were frozen, 1.33 million a second came from own parts.

Change: an instance earns its even part of a limit as time passes and pays it into the pool that it asks; a pool grants what was paid in, and starts empty. What is earned is paid once, so that disagreement about the pool splits the limit and does not double it. The size of a pool and its debt follow the share of the limit that is paid into it. Pools are on the instances with the most memory, the second in another failure domain.

--- a/entry/site/configuration.go
+++ b/entry/site/configuration.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"papayaport.dev/serving/request/quota"
 	"papayaport.dev/serving/version/deployment"
 	"papayaport.dev/serving/version/service"
 )
@@ -14,6 +15,10 @@
 // peerFetchTimeout bounds the fetch of a configuration from a peer.
 const peerFetchTimeout = time.Second
 
+// requestBurst is the time's worth of a limit in requests that may be used at once; a
+// configuration names a burst for tokens only.
+const requestBurst = time.Second
+
 // adopt puts a configuration into force unless a version at least as high is.
 func (s *Site) adopt(raw []byte, source string) {
 	if bytes.Equal(raw, s.keeper.Raw()) {
@@ -30,9 +35,8 @@
 		return
 	}
 	logLimits(log, before, version)
-	limits := s.accountLimits(version)
-	s.admission.SetServices(time.Now(), version.Version, limits)
-	s.kept.SetServices(time.Now(), version.Version, limits)
+	s.admission.SetServices(time.Now(), version.Version, s.partLimits(version))
+	s.quota.SetLimits(time.Now(), version.Version, s.poolLimits(version))
 	for _, account := range version.Accounts {
 		s.members.Know(accountsService + "/" + account.Name)
 	}
@@ -64,9 +68,9 @@
 	}
 }
 
-// accountLimits gives the limits of client accounts the form of one service file, since
+// partLimits gives the limits of client accounts the form of one service file, since
 // they hold over all services.
-func (s *Site) accountLimits(version *deployment.Version) []*service.File {
+func (s *Site) partLimits(version *deployment.Version) []*service.File {
 	file := &service.File{Name: accountsService, Queue: service.Queue{MaxRequests: 1}}
 	for _, account := range version.Accounts {
 		file.Accounts = append(file.Accounts, service.Account{
@@ -77,6 +81,22 @@
 	return []*service.File{file}
 }
 
+// poolLimits returns the limits of client accounts for pools.
+func (s *Site) poolLimits(version *deployment.Version) []quota.Limit {
+	limits := make([]quota.Limit, len(version.Accounts))
+	for i, a := range version.Accounts {
+		limits[i] = quota.Limit{
+			Account:   a.Name,
+			PerSecond: quota.Amount{Requests: a.RequestsPerSecond, Tokens: a.TokensPerSecond},
+			Burst: quota.Amount{
+				Requests: a.RequestsPerSecond * requestBurst.Seconds(), Tokens: s.set.Quota.burst(a.TokensPerSecond, a.TokenBurst),
+			},
+			Debt: quota.Amount{Tokens: s.set.Quota.debt(a.TokensPerSecond, a.TokenBurst)},
+		}
+	}
+	return limits
+}
+
 // fetch reads a configuration from a peer that has a higher version in force, for an
 // instance that the store turns away.
 func (s *Site) fetch(address string) {
--- a/entry/site/exchange.go
+++ b/entry/site/exchange.go
@@ -33,6 +33,7 @@
 	totals := s.members.Totals(now)
 	s.routes.Peers(now, totals)
 	s.admission.SetEntries(now, s.entries())
+	s.setEarners()
 	s.admission.Peers(now, totals)
 }
 
--- /dev/null
+++ b/entry/site/pools.go
@@ -0,0 +1,253 @@
+package site
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"papayaport.dev/serving/process/clock"
+	"papayaport.dev/serving/process/membership"
+	"papayaport.dev/serving/process/problem"
+	"papayaport.dev/serving/request/quota"
+)
+
+const (
+	// poolTimeout bounds the call to another instance's pool; peers of a region answer in a
+	// few milliseconds.
+	poolTimeout = 200 * time.Millisecond
+	// unknownLimitRetry is when a request may come back whose account has no limit known
+	// here yet: the configuration is being put into force.
+	unknownLimitRetry = 100 * time.Millisecond
+)
+
+// grantQuery asks for a grant out of the pool of another instance.
+type grantQuery struct {
+	Account string       `cbor:"1,keyasint"`
+	Cost    quota.Amount `cbor:"2,keyasint"`
+	// Paid is what the asking instance earned of the limit since it paid last.
+	Paid quota.Amount `cbor:"3,keyasint"`
+}
+
+// poolOrder returns the instances whose pools are asked for an account's requests, the first
+// that answers decides: the best of all, the best of another failure domain, the best of
+// this one, and at last this instance itself. The best have the most memory, since where
+// machines differ the processor grows with it, and among equals the highest rank for the
+// account (rendezvous hashing, Thaler and Ravishankar, 1998). Instances that disagree on
+// the order share the limit by what each of them pays.
+func poolOrder(self membership.Member, candidates []poolCandidate, account string) []membership.Member {
+	var first, elsewhere, home *poolCandidate
+	better := func(best *poolCandidate, c *poolCandidate) bool {
+		if best == nil || best.memory != c.memory {
+			return best == nil || c.memory > best.memory
+		}
+		return cmp.Compare(poolRank(c, account), poolRank(best, account)) > 0
+	}
+	for i := range candidates {
+		if c := &candidates[i]; better(first, c) {
+			first = c
+		}
+	}
+	for i := range candidates {
+		c := &candidates[i]
+		if c.member.FailureDomain != first.member.FailureDomain && better(elsewhere, c) {
+			elsewhere = c
+		}
+		if c.member.FailureDomain == self.FailureDomain && better(home, c) {
+			home = c
+		}
+	}
+	var order []membership.Member
+	seen := map[string]bool{self.PeerAddress: true}
+	for _, c := range []*poolCandidate{first, elsewhere, home} {
+		switch {
+		case c == nil:
+		case c.member.PeerAddress == self.PeerAddress:
+			return append(order, self) // its own pool always answers
+		case !seen[c.member.PeerAddress]:
+			seen[c.member.PeerAddress] = true
+			order = append(order, c.member)
+		}
+	}
+	return append(order, self)
+}
+
+// poolCandidate is an instance that may hold a pool.
+type poolCandidate struct {
+	member membership.Member
+	memory int // MB
+}
+
+func poolRank(c *poolCandidate, account string) uint64 {
+	return xxhash.Sum64String(c.member.PeerAddress + "\x00" + account)
+}
+
+// poolCandidates returns the instances that the store lists, without those that are known
+// to be gone or to go.
+func (s *Site) poolCandidates(now time.Time) []poolCandidate {
+	gone := map[string]bool{}
+	for _, status := range s.members.Members(now) {
+		lapsed := !status.Live && !status.Heard.IsZero()
+		gone[status.Instance] = lapsed || status.Draining || status.Leaving
+	}
+	s.mu.Lock()
+	records := s.records
+	s.mu.Unlock()
+	var candidates []poolCandidate
+	for _, r := range records {
+		if gone[r.instance] || r.instance == s.set.Instance && s.relay.Draining() {
+			continue
+		}
+		candidates = append(candidates, poolCandidate{
+			member: membership.Member{Instance: r.instance, FailureDomain: r.FailureDomain, PeerAddress: r.PeerAddress},
+			memory: r.MemoryMB,
+		})
+	}
+	return candidates
+}
+
+// pools returns the pools of an account in the order in which they are asked, without those
+// that did not answer of late.
+func (s *Site) pools(account string) []membership.Member {
+	order, found := (*s.poolOrders.Load())[account]
+	if !found {
+		order = poolOrder(s.self(), s.poolCandidates(time.Now()), account)
+	}
+	var reached []membership.Member
+	for _, holder := range order {
+		if !s.unreached.lately(holder.PeerAddress) {
+			reached = append(reached, holder)
+		}
+	}
+	return reached
+}
+
+// setEarners tells how many instances earn the limits. Before the store's list is known this
+// instance earns nothing.
+func (s *Site) setEarners() {
+	s.mu.Lock()
+	known := len(s.records) > 0
+	s.mu.Unlock()
+	if known {
+		s.quota.SetEntries(time.Now(), s.entries())
+	}
+}
+
+// runPay pays what this instance earned of the limits of client accounts into the pools that
+// it asks.
+func (s *Site) runPay(ctx context.Context) error {
+	for {
+		entries := s.entries()
+		if err := clock.Sleep(ctx, quota.PayPeriod(entries)); err != nil {
+			return err
+		}
+		if entries >= s.set.Quota.KeptFrom {
+			s.payPools(ctx)
+		}
+	}
+}
+
+// payPools makes one payment for all accounts.
+func (s *Site) payPools(ctx context.Context) {
+	now := time.Now()
+	candidates := s.poolCandidates(now)
+	orders := map[string][]membership.Member{}
+	accounts := s.quota.Accounts()
+	for _, account := range accounts {
+		orders[account] = poolOrder(s.self(), candidates, account)
+	}
+	s.poolOrders.Store(&orders)
+	payments := map[string]map[string]quota.Amount{}
+	for _, account := range accounts {
+		holder := s.pools(account)[0].PeerAddress
+		if payments[holder] == nil {
+			payments[holder] = map[string]quota.Amount{}
+		}
+		payments[holder][account] = s.quota.Earned(now, account)
+	}
+	ctx, cancel := context.WithTimeout(ctx, poolTimeout)
+	defer cancel()
+	var group errgroup.Group
+	for holder, payment := range payments {
+		if holder == s.set.AdvertisedPeers {
+			s.receivePayment(payment)
+			continue
+		}
+		group.Go(func() error {
+			if _, err := s.askPeer(ctx, holder, query{Pay: payment}); err != nil && ctx.Err() != context.Canceled {
+				s.poolLost(err, holder, "")
+			}
+			return nil
+		})
+	}
+	// Every payment that fails leaves its own log line.
+	_ = group.Wait()
+}
+
+func (s *Site) receivePayment(payment map[string]quota.Amount) {
+	now := time.Now()
+	for account, amount := range payment {
+		s.quota.Pay(now, account, amount)
+	}
+}
+
+// poolLost notes that the holder of a pool did not answer. What was paid with the call may
+// have arrived, so that it is not paid again.
+func (s *Site) poolLost(err error, address, account string) {
+	s.unreached.note(address)
+	s.part("limits").WithError(err).WithFields(logrus.Fields{"account": account, "peer": address}).
+		Warn("limits: pool did not answer")
+}
+
+// askPools asks the pools of an account in their order and returns the one that decided.
+func (s *Site) askPools(ctx context.Context, account string, cost quota.Amount) (decidedBy string, err error) {
+	for _, holder := range s.pools(account) {
+		ask := grantQuery{Account: account, Cost: cost, Paid: s.quota.Earned(time.Now(), account)}
+		if holder.PeerAddress == s.set.AdvertisedPeers {
+			return holder.Instance, s.grant(ask).refusal()
+		}
+		limited, cancel := context.WithTimeout(ctx, poolTimeout)
+		answered, err := s.askPeer(limited, holder.PeerAddress, query{Grant: &ask})
+		cancel()
+		switch {
+		case ctx.Err() != nil:
+			return holder.Instance, problem.New(problem.CallerGone, "%v", context.Cause(ctx))
+		case err != nil:
+			s.poolLost(err, holder.PeerAddress, account)
+		case answered.Granted, answered.Refused:
+			return holder.Instance, answered.refusal()
+		}
+	}
+	return "", reply{}.refusal() // not reached: the last pool is this instance's own
+}
+
+// grant decides on a request out of the pool that this instance holds.
+func (s *Site) grant(ask grantQuery) reply {
+	now := time.Now()
+	s.quota.Pay(now, ask.Account, ask.Paid)
+	decision, known := s.quota.Ask(now, ask.Account, ask.Cost)
+	switch {
+	case !known:
+		return reply{NotKnown: true} // the configuration here lags or is ahead
+	case decision.Granted:
+		return reply{Granted: true}
+	}
+	detail := fmt.Sprintf("account %s is over its limit: the pool of %s gets %.2f of it and holds %.0f",
+		ask.Account, s.set.Instance, decision.Share, decision.Level)
+	return reply{Refused: true, Detail: detail, RetryMS: decision.RetryAfter.Milliseconds()}
+}
+
+// refusal returns the error of a request that was not granted, nil for one that was.
+func (r reply) refusal() error {
+	switch {
+	case r.Granted:
+		return nil
+	case r.Refused:
+		return problem.New(problem.AccountLimit, "%s", r.Detail).After(time.Duration(r.RetryMS) * time.Millisecond)
+	}
+	return problem.New(problem.NotReady, "the limit of the account is not known here yet").After(unknownLimitRetry)
+}
--- /dev/null
+++ b/entry/site/pools_test.go
@@ -0,0 +1,64 @@
+package site
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"papayaport.dev/serving/process/membership"
+)
+
+// TestPoolOrder guards against an account whose pools are all lost with one failure domain,
+// and against pools on the weakest machines of a fleet.
+func TestPoolOrder(t *testing.T) {
+	member := func(name, domain string) membership.Member {
+		return membership.Member{Instance: name, FailureDomain: domain, PeerAddress: name}
+	}
+	candidates := func(memory map[string]int) []poolCandidate {
+		var all []poolCandidate
+		for _, name := range []string{"a1", "a2", "a3", "b1", "b2", "c1", "c2"} {
+			if memory[name] > 0 {
+				all = append(all, poolCandidate{member(name, name[:1]), memory[name]})
+			}
+		}
+		return all
+	}
+	for name, test := range map[string]struct {
+		self   membership.Member
+		memory map[string]int
+		order  []string
+	}{
+		"large ones, of two domains and of its own": {
+			member("c2", "c"), map[string]int{"a1": 9, "a2": 8, "a3": 1, "b1": 7, "b2": 2, "c1": 3, "c2": 2}, []string{"a1", "b1", "c1", "c2"},
+		},
+		"the first is of its own domain": {
+			member("a3", "a"), map[string]int{"a1": 9, "a2": 8, "a3": 1, "b1": 7}, []string{"a1", "b1", "a3"},
+		},
+		"it is the first itself":  {member("a1", "a"), map[string]int{"a1": 9, "b1": 7}, []string{"a1"}},
+		"it is the second itself": {member("b1", "b"), map[string]int{"a1": 9, "b1": 7, "b2": 8}, []string{"a1", "b2", "b1"}},
+		"one domain only":         {member("a3", "a"), map[string]int{"a1": 9, "a2": 8, "a3": 1}, []string{"a1", "a3"}},
+		"nobody is listed":        {member("a1", "a"), nil, []string{"a1"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var order []string
+			for _, m := range poolOrder(test.self, candidates(test.memory), "desk") {
+				order = append(order, m.Instance)
+			}
+			require.Equal(t, test.order, order)
+		})
+	}
+}
+
+// TestPoolsOfAccountsAreSpread guards against one instance that decides for all accounts.
+func TestPoolsOfAccountsAreSpread(t *testing.T) {
+	var candidates []poolCandidate
+	for _, name := range []string{"a1", "a2", "b1", "b2", "c1", "c2", "d1", "d2"} {
+		candidates = append(candidates, poolCandidate{membership.Member{Instance: name, FailureDomain: name[:1], PeerAddress: name}, 100})
+	}
+	first := map[string]int{}
+	for _, account := range []string{"p", "q", "r", "s", "t", "u", "v", "w", "x", "y", "z", "desk", "night", "clinic", "large", "small"} {
+		order := poolOrder(candidates[0].member, candidates, account)
+		first[order[0].Instance]++
+	}
+	require.GreaterOrEqual(t, len(first), 4)
+}
--- a/entry/site/query.go
+++ b/entry/site/query.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"papayaport.dev/serving/request/admission"
+	"papayaport.dev/serving/request/quota"
 )
 
 // unreachedFor is how long a peer that did not answer is passed over by those that have
@@ -19,12 +20,14 @@
 type query struct {
 	// Lend asks for unused tokens.
 	Lend *admission.Debt `cbor:"1,keyasint,omitempty"`
-	// Admit asks the keeper of a limit to charge a request.
-	Admit *admission.Ask `cbor:"2,keyasint,omitempty"`
 	// Roll asks for load and counts.
 	Roll bool `cbor:"3,keyasint,omitempty"`
 	// View asks for the view of the store.
 	View *viewQuery `cbor:"4,keyasint,omitempty"`
+	// Grant asks for a grant out of a pool. Number 2 was an older form of it.
+	Grant *grantQuery `cbor:"5,keyasint,omitempty"`
+	// Pay pays into pools, by account.
+	Pay map[string]quota.Amount `cbor:"6,keyasint,omitempty"`
 }
 
 // reply is the answer.
@@ -36,10 +39,13 @@
 	Refused bool   `cbor:"2,keyasint,omitempty"`
 	Detail  string `cbor:"3,keyasint,omitempty"`
 	RetryMS int64  `cbor:"4,keyasint,omitempty"`
-	// NotKnown tells that the configuration here lacks the account.
+	// NotKnown tells that the configuration here lacks the account, or that the question is
+	// not known.
 	NotKnown bool       `cbor:"5,keyasint,omitempty"`
 	Roll     *roll      `cbor:"6,keyasint,omitempty"`
 	View     *viewReply `cbor:"7,keyasint,omitempty"`
+	// Granted tells that a pool granted the request.
+	Granted bool `cbor:"8,keyasint,omitempty"`
 }
 
 // askPeer asks the entry instance at an address.
@@ -66,13 +72,17 @@
 	switch {
 	case question.Lend != nil:
 		answered.Lent = h.s.admission.Lend(time.Now(), *question.Lend)
-	case question.Admit != nil:
-		answered = h.s.keep(*question.Admit)
+	case question.Grant != nil:
+		answered = h.s.grant(*question.Grant)
+	case len(question.Pay) > 0:
+		h.s.receivePayment(question.Pay)
 	case question.Roll:
 		own := h.s.ownRoll(time.Now())
 		answered.Roll = &own
 	case question.View != nil:
 		answered.View = h.s.answerView(*question.View)
+	default:
+		answered.NotKnown = true // a question of another version of the program
 	}
 	answer, err := cbor.Marshal(answered)
 	return answer, errors.Wrap(err, "encode reply")
--- a/entry/site/record.go
+++ b/entry/site/record.go
@@ -159,5 +159,6 @@
 	s.listed = max(len(records), 1)
 	s.records = records
 	s.mu.Unlock()
+	s.setEarners()
 	return records
 }
--- a/entry/site/settings.go
+++ b/entry/site/settings.go
@@ -77,8 +77,8 @@
 	Overrun float64 `json:"overrun"`
 	// Slack is the number of tokens that may come on top.
 	Slack float64 `json:"slack"`
-	// KeptFrom is the number of entry instances from which on one of them keeps the whole
-	// limit of an account and the others ask it.
+	// KeptFrom is the number of entry instances from which on the limits of accounts are kept
+	// in pools.
 	KeptFrom int `json:"kept_from"`
 }
 
@@ -90,15 +90,28 @@
 // less than one request, and what peers tell of their demand comes too late.
 const usualKeptFrom = 24
 
-// toleranceShare is the part of the tolerance that bursts use; the rest covers shares of
-// entry instances that learn of each other's demand late.
-const toleranceShare = 0.3
+const (
+	// toleranceShare is the part of the tolerance that bursts use; the rest covers shares of
+	// entry instances that learn of each other's demand late.
+	toleranceShare = 0.3
+	// debtShare is the part of the tolerance by which large requests may take the pools of an
+	// account below zero. What it leaves with toleranceShare is for pools that change hands.
+	debtShare = 0.35
+)
+
+// tolerance returns by how many tokens an account may pass rate and burst in a window.
+func (q QuotaSettings) tolerance(rate, burst float64) float64 {
+	return q.Overrun*(rate*q.WindowS+burst) + q.Slack
+}
 
 // burst returns what an account may use at once: its own burst and a part of the tolerance.
 func (q QuotaSettings) burst(rate, burst float64) float64 {
-	return burst + toleranceShare*(q.Overrun*(rate*q.WindowS+burst)+q.Slack)
+	return burst + toleranceShare*q.tolerance(rate, burst)
 }
 
+// debt returns how far large requests may take the pools of an account below zero.
+func (q QuotaSettings) debt(rate, burst float64) float64 { return debtShare * q.tolerance(rate, burst) }
+
 // UsageSettings describes the usage reports.
 type UsageSettings struct {
 	// WindowS is the length of a reported window in seconds.
--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -38,6 +38,7 @@
 	"papayaport.dev/serving/process/usage"
 	"papayaport.dev/serving/request/admission"
 	"papayaport.dev/serving/request/budget"
+	"papayaport.dev/serving/request/quota"
 	"papayaport.dev/serving/request/route"
 	"papayaport.dev/serving/version/deployment"
 )
@@ -114,10 +115,10 @@
 	keeper deployment.Keeper
 	relay  *relay.Relay
 	routes *route.Table
-	// admission holds this instance's parts of the limits of client accounts, and kept the
-	// whole limits of the accounts that this instance keeps for a large fleet.
+	// admission holds this instance's parts of the limits of client accounts in a small
+	// fleet, and quota its earnings and pools in a large one.
 	admission *admission.Table
-	kept      *admission.Table
+	quota     *quota.Table
 	budget    *budget.Table
 	pool      *upstream.Pool
 	usage     *usage.Counter
@@ -147,7 +148,10 @@
 	intake    *sizing.Intake
 	debts     debtors
 	unreached unreached
-	callers   callers
+	// poolOrders holds the pools of each client account in the order in which they are asked,
+	// as of the last payment.
+	poolOrders atomic.Pointer[map[string][]membership.Member]
+	callers    callers
 	// overdue counts callers' connections that were closed over a limit.
 	overdue *metrics.Counter
 	lines   Lines
@@ -163,7 +167,8 @@
 	if s.routes, err = route.New(here, set.Policy, seeded()); err != nil {
 		return nil, errors.Wrap(err, "policy")
 	}
-	s.admission, s.kept = admission.New(), admission.New()
+	s.admission, s.quota = admission.New(), quota.New()
+	s.poolOrders.Store(&map[string][]membership.Member{})
 	s.budget = budget.New(budget.Limits{
 		Ratio: set.Retry.Ratio, Window: seconds(set.Retry.WindowS), Allowance: set.Retry.Allowance,
 	})
@@ -207,7 +212,7 @@
 		return err
 	}
 	for _, loop := range []func(context.Context) error{
-		s.runView, s.exchange.Run, s.runRecord, s.leases.Run, s.runDuties, s.runTicks, s.runBorrow, s.runRoll,
+		s.runView, s.exchange.Run, s.runRecord, s.leases.Run, s.runDuties, s.runTicks, s.runBorrow, s.runPay, s.runRoll,
 	} {
 		group.Go(func() error {
 			err := loop(running)
@@ -246,7 +251,6 @@
 		}
 		s.pool.Tick(now, func(id string) bool { return listed[id] })
 		s.admission.Tick(now)
-		s.kept.Tick(now)
 		s.budget.SetEntries(s.entries())
 		s.closeOverdue(now)
 	})
