Soak: limits below the demand, with the tolerance of large accounts

The soak had not found that two keepers spend the same limit: its limit was what callers ask for and its tolerance four seconds of it, as small accounts have. In half of the runs the limit is now 4,000 tokens a second, less than callers ask for, and the tolerance a tenth of a second of it, as the users' largest accounts have.

No bound changed; what a run counts is exact. A run that ends early names what it found.

--- a/soak/caller/caller.go
+++ b/soak/caller/caller.go
@@ -28,6 +28,9 @@
 	// FreeKey belongs to an account without a limit.
 	FreeKey     = "key-free"
 	FreeAccount = "free"
+	// FreePrefix begins the ids of requests of that account, so that a run tells whose it is
+	// before its answer is there.
+	FreePrefix = "free-"
 	// PlainTokens is what each request counts as.
 	PlainTokens = 100
 )
--- a/soak/verdict/verdict.go
+++ b/soak/verdict/verdict.go
@@ -11,6 +11,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"papayaport.dev/soak/caller"
@@ -246,14 +247,11 @@
 	runs := slices.Clone(r.Runs)
 	slices.SortFunc(runs, func(a, b Run) int { return a.At.Compare(b.At) })
 	seen := map[string]bool{}
-	for _, a := range r.Answers {
-		seen[a.ID] = a.Key == caller.FreeKey // not limited
-	}
 	// A request that runs again is charged once.
 	runs = slices.DeleteFunc(runs, func(run Run) bool {
 		again := seen[run.ID]
 		seen[run.ID] = true
-		return again
+		return again || strings.HasPrefix(run.ID, caller.FreePrefix)
 	})
 	l := r.Limit
 	most := (1+l.Overrun)*(l.Rate*l.Window.Seconds()+l.Burst) + l.Slack
--- a/soak/verdict/verdict_test.go
+++ b/soak/verdict/verdict_test.go
@@ -100,6 +100,7 @@
 		"two holders":     {verdict.Record{Cloud: []string{"a and b share 7"}}, "one holder"},
 		"over the limit":  {verdict.Record{Limit: limit, Runs: many(11, 90, numbered)}, "limit"},
 		"at the limit":    {verdict.Record{Limit: limit, Runs: many(40, 110, numbered)}, ""},
+		"not limited":     {verdict.Record{Limit: limit, Runs: many(40, 10, func(i int) string { return caller.FreePrefix + numbered(i) })}, ""},
 		"over the budget": {verdict.Record{Budget: budget, Arrivals: many(10, 1, func(i int) string { return numbered(i / 2) })}, "budget"},
 		"in the budget":   {verdict.Record{Budget: budget, Arrivals: many(11, 1, func(i int) string { return numbered(i % 10) })}, ""},
 	} {
--- a/soak/world/play.go
+++ b/soak/world/play.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"syscall"
 	"time"
 
@@ -191,7 +192,7 @@
 			probe.Accepted = started
 		}
 		answer := c.Ask(context.WithoutCancel(ctx), caller.Request{
-			ID: w.id(), Entry: number, Address: e.Settings.Callers, Kind: caller.Safe, Path: "/" + versionRoute(probe.Version) + "/", Key: caller.FreeKey,
+			ID: caller.FreePrefix + w.id(), Entry: number, Address: e.Settings.Callers, Kind: caller.Safe, Path: "/" + versionRoute(probe.Version) + "/", Key: caller.FreeKey,
 		})
 		if answer.Err != nil || len(e.Lives()) != probe.Life {
 			continue
@@ -215,14 +216,11 @@
 			return nil
 		}
 		if found := verdict.Judge(w.snapshot()); len(found) > 0 {
-			return errors.Wrap(errEnded, "a promise broke")
+			return broken("ended early: %s", strings.Join(found, "; "))
 		}
 	}
 }
 
-// errEnded ends a run early; its verdict names what broke.
-var errEnded = broken("ended early")
-
 // recover checks that all entry instances serve every kind of request again.
 func (w *World) recover(ctx context.Context) error {
 	end := time.Now().Add(recoveryBound)
@@ -236,7 +234,7 @@
 		c := caller.New()
 		for served := 0; served < recoveredRun; {
 			answer := c.Ask(ctx, caller.Request{
-				ID: w.id(), Entry: number, Address: e.Settings.Callers, Kind: caller.Kinds[served%len(caller.Kinds)], Key: caller.FreeKey,
+				ID: caller.FreePrefix + w.id(), Entry: number, Address: e.Settings.Callers, Kind: caller.Kinds[served%len(caller.Kinds)], Key: caller.FreeKey,
 			})
 			w.mu.Lock()
 			w.record.Answers = append(w.record.Answers, answer)
--- a/soak/world/world.go
+++ b/soak/world/world.go
@@ -60,13 +60,17 @@
 	allowance    = 56   // repeats in a window besides
 	quotaWindowS = 8    // seconds
 	quotaOverrun = 0.1  // share of the limit
-	// rate is the client account's limit in tokens a second, about what callers ask for in
-	// the larger runs, and quotaSlack the tolerance: four seconds of it, as at the users'
-	// sites.
-	rate       = 20_000
-	quotaSlack = 4 * rate
-	// largeFrom is the size from which on a fleet has a keeper of limits in every second
-	// run, and readers of the store in every third one; never is beyond all sizes.
+	// ampleRate is the client account's limit in tokens a second, about what callers ask for
+	// in the larger runs, and ampleSlack the tolerance: four seconds of it, as the users'
+	// smallest accounts have.
+	ampleRate  = 20_000
+	ampleSlack = 4 * ampleRate
+	// tightRate is the limit in every other pair of runs, less than callers ask for, and
+	// tightSlack a tenth of a second of it, as the users' largest accounts have.
+	tightRate  = 4_000
+	tightSlack = tightRate / 10
+	// largeFrom is the size from which on a fleet has pools of limits in every second run,
+	// and readers of the store in every third one; never is beyond all sizes.
 	largeFrom = 3
 	never     = 1000
 )
@@ -148,7 +152,10 @@
 		life: ctx, plan: p, options: options, store: outside.NewStore(), cloud: outside.NewCloud(),
 		random: rand.New(rand.NewPCG(p.Seed, 1)), ready: make([]bool, p.Entries), given: map[string]bool{},
 	}
-	w.record.Limit = verdict.Limit{Rate: rate, Burst: rate, Window: quotaWindowS * time.Second, Overrun: quotaOverrun, Slack: quotaSlack}
+	w.record.Limit = verdict.Limit{Rate: ampleRate, Burst: ampleRate, Window: quotaWindowS * time.Second, Overrun: quotaOverrun, Slack: ampleSlack}
+	if p.Seed%4 < 2 {
+		w.record.Limit.Rate, w.record.Limit.Burst, w.record.Limit.Slack = tightRate, tightRate, tightSlack
+	}
 	w.record.Budget = verdict.Budget{Ratio: retryRatio, Allowance: allowance, Window: retryWindowS * time.Second}
 	defer w.close()
 	if err := w.start(); err != nil {
@@ -241,7 +248,7 @@
 			{Name: "llm", Connections: connections, Slots: slots, CacheTokens: cacheTokens},
 		},
 		Accounts: []outside.Account{
-			{Name: caller.Account, Key: caller.Key, TokensPerSecond: rate, Burst: rate, PlainTokens: caller.PlainTokens},
+			{Name: caller.Account, Key: caller.Key, TokensPerSecond: int(w.record.Limit.Rate), Burst: int(w.record.Limit.Burst), PlainTokens: caller.PlainTokens},
 			{Name: caller.FreeAccount, Key: caller.FreeKey},
 		},
 		Limits: outside.Limits{BodyBytes: 100_000, HeaderBytes: 8192, HeaderTime: 3 * time.Second, IdleTime: 15 * time.Second},
@@ -304,7 +311,7 @@
 			MemoryMB: memoryMB, GraceS: graceS, LeaseMS: leaseMS, LeavingMS: leavingMS,
 			Retry: site.RetrySettings{Ratio: retryRatio, WindowS: retryWindowS, Allowance: allowance},
 			Usage: site.UsageSettings{WindowS: usageWindowS},
-			Quota: site.QuotaSettings{WindowS: quotaWindowS, Overrun: quotaOverrun, Slack: quotaSlack, KeptFrom: kept}, RelayedFrom: relayed,
+			Quota: site.QuotaSettings{WindowS: quotaWindowS, Overrun: quotaOverrun, Slack: w.record.Limit.Slack, KeptFrom: kept}, RelayedFrom: relayed,
 			Policy: "papayaport_no_price", LogLevel: "info",
 		}
 		var err error
