--- a/entry/site/limits.go
+++ b/entry/site/limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"papayaport.dev/serving/process/problem"
@@ -20,19 +21,32 @@
 // Admit charges a request to its account. In a small fleet each entry instance has a part
 // of the limit; in a large one a pool is asked.
 func (s *Site) Admit(ctx context.Context, id, account string, tokens int) (decidedBy string, err error) {
+	source := "part"
 	if s.entries() >= s.set.Quota.KeptFrom {
-		holder, err := s.askPools(ctx, account, quota.Amount{Requests: 1, Tokens: float64(tokens)})
-		return "pool " + holder, err
+		var holder string
+		holder, err = s.askPools(ctx, account, quota.Amount{Requests: 1, Tokens: float64(tokens)})
+		decidedBy, source = "pool "+holder, "pool"
+		if holder == s.set.Instance {
+			source = "own_pool"
+		}
+	} else {
+		decidedBy, err = ownPart, s.askPart(ctx, id, account, tokens)
 	}
+	s.meters.GetOrCreateCounter(fmt.Sprintf("papayaport_limit_decisions_total{source=%q,granted=\"%t\"}", source, err == nil)).Inc()
+	return decidedBy, err
+}
+
+// askPart charges this instance's part of a limit, and borrows for a request that it lacks.
+func (s *Site) askPart(ctx context.Context, id, account string, tokens int) error {
 	ask := admission.Ask{RequestID: id, Service: accountsService, Account: account, Tokens: tokens}
 	refusal := s.chargePart(ask)
 	if refusal != nil && s.payOne(ctx, account) {
 		refusal = s.chargePart(ask)
 	}
 	if refusal != nil {
-		return ownPart, refusal
+		return refusal
 	}
-	return ownPart, nil
+	return nil
 }
 
 // chargePart asks for a place and gives it back at once: only rates are limited here.
--- a/entry/site/pools.go
+++ b/entry/site/pools.go
@@ -199,6 +199,7 @@
 // have arrived, so that it is not paid again.
 func (s *Site) poolLost(err error, address, account string) {
 	s.unreached.note(address)
+	s.poolsLost.Inc()
 	s.part("limits").WithError(err).WithFields(logrus.Fields{"account": account, "peer": address}).
 		Warn("limits: pool did not answer")
 }
--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -152,9 +152,10 @@
 	// as of the last payment.
 	poolOrders atomic.Pointer[map[string][]membership.Member]
 	callers    callers
-	// overdue counts callers' connections that were closed over a limit.
-	overdue *metrics.Counter
-	lines   Lines
+	// overdue counts callers' connections that were closed over a limit, and poolsLost the
+	// calls to another instance's pool that were not answered.
+	overdue, poolsLost *metrics.Counter
+	lines              Lines
 }
 
 // New joins the parts of an entry instance. Nothing runs yet.
@@ -187,6 +188,7 @@
 		Codec: p.Codec, Meters: relay.NewMeters(s.meters), Entries: s.entries, Draw: rand.Float64, Log: s.part("relay"),
 	})
 	s.overdue = s.meters.NewCounter("papayaport_caller_connections_overdue_total")
+	s.poolsLost = s.meters.NewCounter("papayaport_pools_lost_total")
 	s.registerGauges()
 	return s, nil
 }
