Tests of the daemon listen at a loopback address of their own

The test had found the port free at 127.0.0.1 and closed it; another process, or an outgoing connection, took it before the daemon listened there. As in platform/proof the addresses are given once, and of a loopback address that no other process uses. No check changed.

--- a/entry/daemon/daemon_test.go
+++ b/entry/daemon/daemon_test.go
@@ -64,7 +64,7 @@
 	template := &x509.Certificate{
 		SerialNumber: big.NewInt(time.Now().UnixNano()), Subject: pkix.Name{CommonName: "entry"},
 		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
-		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+		IPAddresses: []net.IP{ownLoopback},
 		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
 	}
 	der, err := x509.CreateCertificate(rand.Reader, template, a.cert, &key.PublicKey, a.key)
@@ -80,11 +80,26 @@
 	return set
 }
 
+// ownLoopback is a loopback address that no other process uses, so that neither a listener
+// of another one nor an outgoing connection takes a port between freeAddress and its use.
+var ownLoopback = net.IPv4(127, 2, byte(os.Getpid()>>8), byte(os.Getpid()))
+
+// given are the addresses that freeAddress returned: the system may name a port again
+// right after it was closed.
+var given = map[string]bool{}
+
+// freeAddress returns an address that nothing listens at, and not the same one twice.
 func freeAddress(t *testing.T) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer listener.Close()
-	return listener.Addr().String()
+	for {
+		listener, err := net.Listen("tcp", net.JoinHostPort(ownLoopback.String(), "0"))
+		require.NoError(t, err)
+		address := listener.Addr().String()
+		require.NoError(t, listener.Close())
+		if !given[address] {
+			given[address] = true
+			return address
+		}
+	}
 }
 
 // platformWithout is a platform in an outage but for its instance list, which is empty.
