Name the setting of pools after them; split their choice

The choice of an account's pools is one function for the best of some instances and one for their order. No decision changed.

--- a/entry/site/limits.go
+++ b/entry/site/limits.go
@@ -22,7 +22,7 @@
 // of the limit; in a large one a pool is asked.
 func (s *Site) Admit(ctx context.Context, id, account string, tokens int) (decidedBy string, err error) {
 	source := "part"
-	if s.entries() >= s.set.Quota.KeptFrom {
+	if s.entries() >= s.set.Quota.PooledFrom {
 		var holder string
 		holder, err = s.askPools(ctx, account, quota.Amount{Requests: 1, Tokens: float64(tokens)})
 		decidedBy, source = "pool "+holder, "pool"
--- a/entry/site/pools.go
+++ b/entry/site/pools.go
@@ -1,9 +1,9 @@
 package site
 
 import (
-	"cmp"
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -40,40 +40,42 @@
 // account (rendezvous hashing, Thaler and Ravishankar, 1998). Instances that disagree on
 // the order share the limit by what each of them pays.
 func poolOrder(self membership.Member, candidates []poolCandidate, account string) []membership.Member {
-	var first, elsewhere, home *poolCandidate
-	better := func(best *poolCandidate, c *poolCandidate) bool {
-		if best == nil || best.memory != c.memory {
-			return best == nil || c.memory > best.memory
-		}
-		return cmp.Compare(poolRank(c, account), poolRank(best, account)) > 0
+	first := bestPool(candidates, account, func(membership.Member) bool { return true })
+	if first == nil {
+		return []membership.Member{self}
 	}
-	for i := range candidates {
-		if c := &candidates[i]; better(first, c) {
-			first = c
+	elsewhere := bestPool(candidates, account, func(m membership.Member) bool {
+		return m.FailureDomain != first.member.FailureDomain
+	})
+	home := bestPool(candidates, account, func(m membership.Member) bool {
+		return m.FailureDomain == self.FailureDomain
+	})
+	var order []membership.Member
+	for _, c := range []*poolCandidate{first, elsewhere, home} {
+		if c == nil || slices.Contains(order, c.member) {
+			continue
+		}
+		if c.member.PeerAddress == self.PeerAddress {
+			break // its own pool always answers
 		}
+		order = append(order, c.member)
 	}
+	return append(order, self)
+}
+
+// bestPool returns the best of the candidates that match, nil when there is none.
+func bestPool(candidates []poolCandidate, account string, matches func(membership.Member) bool) *poolCandidate {
+	var best *poolCandidate
 	for i := range candidates {
 		c := &candidates[i]
-		if c.member.FailureDomain != first.member.FailureDomain && better(elsewhere, c) {
-			elsewhere = c
-		}
-		if c.member.FailureDomain == self.FailureDomain && better(home, c) {
-			home = c
-		}
-	}
-	var order []membership.Member
-	seen := map[string]bool{self.PeerAddress: true}
-	for _, c := range []*poolCandidate{first, elsewhere, home} {
 		switch {
-		case c == nil:
-		case c.member.PeerAddress == self.PeerAddress:
-			return append(order, self) // its own pool always answers
-		case !seen[c.member.PeerAddress]:
-			seen[c.member.PeerAddress] = true
-			order = append(order, c.member)
+		case !matches(c.member):
+		case best == nil, c.memory > best.memory,
+			c.memory == best.memory && poolRank(c, account) > poolRank(best, account):
+			best = c
 		}
 	}
-	return append(order, self)
+	return best
 }
 
 // poolCandidate is an instance that may hold a pool.
@@ -145,7 +147,7 @@
 		if err := clock.Sleep(ctx, quota.PayPeriod(entries)); err != nil {
 			return err
 		}
-		if entries >= s.set.Quota.KeptFrom {
+		if entries >= s.set.Quota.PooledFrom {
 			s.payPools(ctx)
 		}
 	}
--- a/entry/site/settings.go
+++ b/entry/site/settings.go
@@ -77,18 +77,18 @@
 	Overrun float64 `json:"overrun"`
 	// Slack is the number of tokens that may come on top.
 	Slack float64 `json:"slack"`
-	// KeptFrom is the number of entry instances from which on the limits of accounts are kept
+	// PooledFrom is the number of entry instances from which on the limits of accounts are kept
 	// in pools.
-	KeptFrom int `json:"kept_from"`
+	PooledFrom int `json:"pooled_from"`
 }
 
 // usualRelayedFrom is RelayedFrom when the settings name none: a third and more of the
 // instances read below it.
 const usualRelayedFrom = 24
 
-// usualKeptFrom is KeptFrom when the settings name none: beyond it a part of a limit holds
+// usualPooledFrom is PooledFrom when the settings name none: beyond it a part of a limit holds
 // less than one request, and what peers tell of their demand comes too late.
-const usualKeptFrom = 24
+const usualPooledFrom = 24
 
 const (
 	// toleranceShare is the part of the tolerance that bursts use; the rest covers shares of
@@ -125,7 +125,7 @@
 // Parse reads settings and returns all faults, each with file, field, value and what is
 // allowed.
 func Parse(file string, data []byte) (Settings, []string) {
-	set := Settings{Policy: route.Papayaport + "_no_price", LogLevel: "info", RelayedFrom: usualRelayedFrom, Quota: QuotaSettings{KeptFrom: usualKeptFrom}}
+	set := Settings{Policy: route.Papayaport + "_no_price", LogLevel: "info", RelayedFrom: usualRelayedFrom, Quota: QuotaSettings{PooledFrom: usualPooledFrom}}
 	decoder := json.NewDecoder(bytes.NewReader(data))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(&set); err != nil {
@@ -155,7 +155,7 @@
 	for field, value := range map[string]float64{
 		"memory_mb": float64(s.MemoryMB), "grace_s": s.GraceS, "lease_ms": float64(s.LeaseMS),
 		"leaving_ms": float64(s.LeavingMS), "retry.window_s": s.Retry.WindowS, "usage.window_s": s.Usage.WindowS, "quota.window_s": s.Quota.WindowS,
-		"quota.kept_from": float64(s.Quota.KeptFrom), "relayed_from": float64(s.RelayedFrom),
+		"quota.pooled_from": float64(s.Quota.PooledFrom), "relayed_from": float64(s.RelayedFrom),
 	} {
 		if value <= 0 {
 			add(field, value, "a number above 0")
--- a/soak/world/world.go
+++ b/soak/world/world.go
@@ -297,9 +297,9 @@
 func (w *World) startEntries() error {
 	var settings []site.Settings
 	var seeds []string
-	kept, relayed := never, never
+	pooled, relayed := never, never
 	if w.plan.Seed%2 == 0 {
-		kept = largeFrom
+		pooled = largeFrom
 	}
 	if w.plan.Seed%3 == 0 {
 		relayed = largeFrom
@@ -311,7 +311,7 @@
 			MemoryMB: memoryMB, GraceS: graceS, LeaseMS: leaseMS, LeavingMS: leavingMS,
 			Retry: site.RetrySettings{Ratio: retryRatio, WindowS: retryWindowS, Allowance: allowance},
 			Usage: site.UsageSettings{WindowS: usageWindowS},
-			Quota: site.QuotaSettings{WindowS: quotaWindowS, Overrun: quotaOverrun, Slack: w.record.Limit.Slack, KeptFrom: kept}, RelayedFrom: relayed,
+			Quota: site.QuotaSettings{WindowS: quotaWindowS, Overrun: quotaOverrun, Slack: w.record.Limit.Slack, PooledFrom: pooled}, RelayedFrom: relayed,
 			Policy: "papayaport_no_price", LogLevel: "info",
 		}
 		var err error
