Only limits with a stated burst start empty

Beside the limits with a stated burst it emptied those without, which have one second's worth of a part: eight entry instances with a part of a few requests a second each refused accounts within their limit behind every start.

--- a/serving/request/admission/share.go
+++ b/serving/request/admission/share.go
@@ -55,7 +55,13 @@
 		steps = toleratedSteps
 	}
 	l.rate = f.share(limit, l.demand.lowest(now, steps), peers)
-	l.bucket.refill(now, l.rate, max(passing, burst*l.rate/limit))
+	size := max(l.rate*burstTime.Seconds(), passing)
+	start := size
+	if burst > 0 {
+		// A process that starts does not know whether the burst was used before it.
+		size, start = max(size, burst*l.rate/limit), passing
+	}
+	l.bucket.refill(now, l.rate, size, start)
 }
 
 // missing returns how long it takes until an amount may be taken, after update.
@@ -83,11 +89,11 @@
 // burstTime is the time's worth of a limit that may be used at once.
 const burstTime = time.Second
 
-// refill adds what the rate gave since the last call, up to the bucket's size.
-func (b *bucket) refill(now time.Time, rate, smallest float64) {
-	size := max(rate*burstTime.Seconds(), smallest)
+// refill adds what the rate gave since the last call, up to the bucket's size. The first
+// call fills it to start.
+func (b *bucket) refill(now time.Time, rate, size, start float64) {
 	if b.at.IsZero() {
-		b.level, b.at = min(size, passing), now
+		b.level, b.at = start, now
 	}
 	b.level = min(b.level+rate*now.Sub(b.at).Seconds(), size)
 	b.at = now
