Choose readers and pools by what members tell, not by records

TestRelayedViews once saw 29 reads of the store in 2 s where 28 are allowed.

Cause: an instance ranks the readers of its failure domain by memory, and took the memory from the records of its last transfer. In the first 5 s of a fleet that transfer holds the records of those that had started before; all others count as 0 MB, so that the instance takes itself for a reader. Beyond that, members are live only after they were heard. In a domain of 33 instances that start together most of them read the store by themselves.

Ruled out: followers that read because a reader was late (their log line was not there in the runs over the bound), sums of usage windows (one list, counted apart).

Change: instances tell their memory as members, and readers are chosen among the members that are worth a call: heard, or learnt of and not yet tried. Pools of limits are ranked by the same.

--- a/entry/site/exchange.go
+++ b/entry/site/exchange.go
@@ -18,6 +18,7 @@
 	return membership.Member{
 		Instance: s.set.Instance, Incarnation: s.incarnation(), Region: s.set.Region,
 		FailureDomain: s.set.FailureDomain, PeerAddress: s.set.AdvertisedPeers, CallerAddress: s.set.Callers,
+		MemoryMB: s.set.MemoryMB,
 	}
 }
 
--- a/entry/site/pools.go
+++ b/entry/site/pools.go
@@ -39,75 +39,61 @@
 // machines differ the processor grows with it, and among equals the highest rank for the
 // account (rendezvous hashing, Thaler and Ravishankar, 1998). Instances that disagree on
 // the order share the limit by what each of them pays.
-func poolOrder(self membership.Member, candidates []poolCandidate, account string) []membership.Member {
+func poolOrder(self membership.Member, candidates []membership.Member, account string) []membership.Member {
 	first := bestPool(candidates, account, func(membership.Member) bool { return true })
 	if first == nil {
 		return []membership.Member{self}
 	}
 	elsewhere := bestPool(candidates, account, func(m membership.Member) bool {
-		return m.FailureDomain != first.member.FailureDomain
+		return m.FailureDomain != first.FailureDomain
 	})
 	home := bestPool(candidates, account, func(m membership.Member) bool {
 		return m.FailureDomain == self.FailureDomain
 	})
 	var order []membership.Member
-	for _, c := range []*poolCandidate{first, elsewhere, home} {
-		if c == nil || slices.Contains(order, c.member) {
+	for _, candidate := range []*membership.Member{first, elsewhere, home} {
+		if candidate == nil || slices.Contains(order, *candidate) {
 			continue
 		}
-		if c.member.PeerAddress == self.PeerAddress {
+		if candidate.PeerAddress == self.PeerAddress {
 			break // its own pool always answers
 		}
-		order = append(order, c.member)
+		order = append(order, *candidate)
 	}
 	return append(order, self)
 }
 
 // bestPool returns the best of the candidates that match, nil when there is none.
-func bestPool(candidates []poolCandidate, account string, matches func(membership.Member) bool) *poolCandidate {
-	var best *poolCandidate
+func bestPool(candidates []membership.Member, account string, matches func(membership.Member) bool) *membership.Member {
+	var best *membership.Member
 	for i := range candidates {
 		c := &candidates[i]
 		switch {
-		case !matches(c.member):
-		case best == nil, c.memory > best.memory,
-			c.memory == best.memory && poolRank(c, account) > poolRank(best, account):
+		case !matches(*c):
+		case best == nil, c.MemoryMB > best.MemoryMB,
+			c.MemoryMB == best.MemoryMB && poolRank(c, account) > poolRank(best, account):
 			best = c
 		}
 	}
 	return best
 }
 
-// poolCandidate is an instance that may hold a pool.
-type poolCandidate struct {
-	member membership.Member
-	memory int // MB
+func poolRank(m *membership.Member, account string) uint64 {
+	return xxhash.Sum64String(m.PeerAddress + "\x00" + account)
 }
 
-func poolRank(c *poolCandidate, account string) uint64 {
-	return xxhash.Sum64String(c.member.PeerAddress + "\x00" + account)
-}
-
-// poolCandidates returns the instances that the store lists, without those that are known
-// to be gone or to go.
-func (s *Site) poolCandidates(now time.Time) []poolCandidate {
-	gone := map[string]bool{}
+// poolCandidates returns the instances that may hold a pool: all that are known, without
+// those that are known to be gone or to go.
+func (s *Site) poolCandidates(now time.Time) []membership.Member {
+	var candidates []membership.Member
+	if !s.relay.Draining() {
+		candidates = append(candidates, s.self())
+	}
 	for _, status := range s.members.Members(now) {
 		lapsed := !status.Live && !status.Heard.IsZero()
-		gone[status.Instance] = lapsed || status.Draining || status.Leaving
-	}
-	s.mu.Lock()
-	records := s.records
-	s.mu.Unlock()
-	var candidates []poolCandidate
-	for _, r := range records {
-		if gone[r.instance] || r.instance == s.set.Instance && s.relay.Draining() {
-			continue
+		if !lapsed && !status.Draining && !status.Leaving {
+			candidates = append(candidates, status.Member)
 		}
-		candidates = append(candidates, poolCandidate{
-			member: membership.Member{Instance: r.instance, FailureDomain: r.FailureDomain, PeerAddress: r.PeerAddress},
-			memory: r.MemoryMB,
-		})
 	}
 	return candidates
 }
--- a/entry/site/pools_test.go
+++ b/entry/site/pools_test.go
@@ -14,11 +14,13 @@
 	member := func(name, domain string) membership.Member {
 		return membership.Member{Instance: name, FailureDomain: domain, PeerAddress: name}
 	}
-	candidates := func(memory map[string]int) []poolCandidate {
-		var all []poolCandidate
+	candidates := func(memory map[string]int) []membership.Member {
+		var all []membership.Member
 		for _, name := range []string{"a1", "a2", "a3", "b1", "b2", "c1", "c2"} {
 			if memory[name] > 0 {
-				all = append(all, poolCandidate{member(name, name[:1]), memory[name]})
+				candidate := member(name, name[:1])
+				candidate.MemoryMB = memory[name]
+				all = append(all, candidate)
 			}
 		}
 		return all
@@ -51,13 +53,13 @@
 
 // TestPoolsOfAccountsAreSpread guards against one instance that decides for all accounts.
 func TestPoolsOfAccountsAreSpread(t *testing.T) {
-	var candidates []poolCandidate
+	var candidates []membership.Member
 	for _, name := range []string{"a1", "a2", "b1", "b2", "c1", "c2", "d1", "d2"} {
-		candidates = append(candidates, poolCandidate{membership.Member{Instance: name, FailureDomain: name[:1], PeerAddress: name}, 100})
+		candidates = append(candidates, membership.Member{Instance: name, FailureDomain: name[:1], PeerAddress: name, MemoryMB: 100})
 	}
 	first := map[string]int{}
 	for _, account := range []string{"p", "q", "r", "s", "t", "u", "v", "w", "x", "y", "z", "desk", "night", "clinic", "large", "small"} {
-		order := poolOrder(candidates[0].member, candidates, account)
+		order := poolOrder(candidates[0], candidates, account)
 		first[order[0].Instance]++
 	}
 	require.GreaterOrEqual(t, len(first), 4)
--- a/entry/site/record.go
+++ b/entry/site/record.go
@@ -151,7 +151,7 @@
 		records = append(records, r)
 		instances = append(instances, platform.Instance{
 			ID: r.instance, Incarnation: r.Incarnation, Role: platform.EntryRole, Region: r.Region,
-			FailureDomain: r.FailureDomain, PeerAddress: r.PeerAddress, Address: r.CallerAddress,
+			FailureDomain: r.FailureDomain, PeerAddress: r.PeerAddress, Address: r.CallerAddress, MemoryMB: r.MemoryMB,
 		})
 	}
 	s.members.Instances(time.Now(), instances)
--- a/entry/site/roll_test.go
+++ b/entry/site/roll_test.go
@@ -46,21 +46,15 @@
 // TestReaders picks the instances of a failure domain with the most memory.
 func TestReaders(t *testing.T) {
 	s := newTestSite(t) // "e" in domain a, 284 MB
-	record := func(name, domain, memory string) platform.Entry {
-		return platform.Entry{Key: entriesPrefix + name, Value: []byte(`{"incarnation": 1, "region": "r", "failure_domain": "` +
-			domain + `", "peer_address": "10.0.0.9:` + memory + `", "memory_mb": ` + memory + `}`)}
-	}
-	s.setEntries([]platform.Entry{record("small", "a", "184"), record("large", "a", "536"), record("larger", "a", "600"), record("other", "b", "900")})
-	for _, name := range []string{"small", "large", "larger", "other"} {
-		domain := "a"
-		if name == "other" {
-			domain = "b"
-		}
-		memory := map[string]string{"small": "184", "large": "536", "larger": "600", "other": "900"}[name]
+	hear := func(name, domain string, memoryMB int) {
 		s.members.Receive(time.Now(), membership.Message{From: membership.Member{
-			Instance: name, Incarnation: 1, Region: "r", FailureDomain: domain, PeerAddress: "10.0.0.9:" + memory,
+			Instance: name, Incarnation: 1, Region: "r", FailureDomain: domain, PeerAddress: "10.0.0.9:" + name, MemoryMB: memoryMB,
 		}})
 	}
+	hear("small", "a", 184)
+	hear("large", "a", 536)
+	hear("larger", "a", 600)
+	hear("other", "b", 900)
 	readers, isReader := s.readers()
 	require.False(t, isReader)
 	var names []string
@@ -70,9 +64,7 @@
 	require.ElementsMatch(t, []string{"large", "larger"}, names)
 
 	for i := range 60 {
-		s.members.Receive(time.Now(), membership.Message{From: membership.Member{
-			Instance: fmt.Sprintf("more-%d", i), Incarnation: 1, Region: "r", FailureDomain: "a", PeerAddress: fmt.Sprintf("10.0.1.%d:1", i),
-		}})
+		hear(fmt.Sprintf("more-%d", i), "a", 0)
 	}
 	readers, _ = s.readers()
 	require.Len(t, readers, 3, "of 64 in the domain")
--- a/entry/site/views.go
+++ b/entry/site/views.go
@@ -257,26 +257,18 @@
 
 // readers returns the entry instances that read the store for this one's failure domain,
 // in the order in which this one asks them, and whether it is one of them. All instances
-// of a domain come to the same ones without a call: of those that live the ones with the
+// of a domain come to the same ones without a call: of those worth a call the ones with the
 // most memory, since where machines differ the link grows with it, and among equals by
 // rendezvous order.
 func (s *Site) readers() (readers []membership.Member, isReader bool) {
 	domain := []membership.Member{s.self()}
-	for _, member := range s.members.Live(time.Now()) {
+	for _, member := range s.members.Reachable(time.Now()) {
 		if member.FailureDomain == s.set.FailureDomain {
 			domain = append(domain, member)
 		}
 	}
-	s.mu.Lock()
-	memory := map[string]int{s.set.Instance: s.set.MemoryMB}
-	for _, r := range s.records {
-		memory[r.instance] = r.MemoryMB
-	}
-	s.mu.Unlock()
 	readers = rendezvous(domain, "view")
-	slices.SortStableFunc(readers, func(a, b membership.Member) int {
-		return cmp.Compare(memory[b.Instance], memory[a.Instance])
-	})
+	slices.SortStableFunc(readers, func(a, b membership.Member) int { return cmp.Compare(b.MemoryMB, a.MemoryMB) })
 	count := max(readersPerDomain, len(domain)/followersPerReader)
 	readers = readers[:min(count, len(readers))]
 	for _, reader := range readers {
--- a/entry/site/views_test.go
+++ b/entry/site/views_test.go
@@ -1,7 +1,9 @@
 package site
 
 import (
+	"fmt"
 	"io"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -10,6 +12,8 @@
 
 	"papayaport.dev/serving/process/clock"
 	"papayaport.dev/serving/process/directory"
+	"papayaport.dev/serving/process/membership"
+	"papayaport.dev/serving/process/platform"
 )
 
 type noLines struct{}
@@ -64,3 +68,71 @@
 	v.takeOver(s.view.Load(), &viewReply{}, 0, "peer")
 	require.Empty(t, s.backends())
 }
+
+// TestReadersOfAFleetThatStarts lets five instances of a failure domain name their readers
+// while each has seen the records of others only, as in the first seconds of a fleet. They
+// come to the same two.
+func TestReadersOfAFleetThatStarts(t *testing.T) {
+	const instances, memoryMB = 5, 284
+	member := func(i int) membership.Member {
+		return membership.Member{
+			Instance: fmt.Sprintf("e%d", i), Incarnation: 1, Region: "r", FailureDomain: "a",
+			PeerAddress: fmt.Sprintf("10.0.0.%d:1", i), MemoryMB: memoryMB,
+		}
+	}
+	record := func(i int) platform.Entry {
+		return platform.Entry{Key: entriesPrefix + member(i).Instance, Value: fmt.Appendf(nil,
+			`{"incarnation": 1, "region": "r", "failure_domain": "a", "peer_address": %q, "memory_mb": %d}`, member(i).PeerAddress, memoryMB)}
+	}
+	for name, test := range map[string]struct {
+		// listed tells which records an instance has seen, heard which peers told it of themselves.
+		listed, heard func(seenBy, of int) bool
+	}{
+		"records of some": {
+			func(seenBy, of int) bool { return of <= seenBy },
+			func(int, int) bool { return true },
+		},
+		"no records": {
+			func(int, int) bool { return false },
+			func(int, int) bool { return true },
+		},
+		"records of all, nobody heard yet": {
+			func(int, int) bool { return true },
+			func(int, int) bool { return false },
+		},
+		"each heard of one, records of all": {
+			func(int, int) bool { return true },
+			func(by, of int) bool { return of == (by+1)%instances },
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var readers []string
+			named := map[string]int{}
+			for i := range instances {
+				s := newTestSite(t)
+				self := member(i)
+				s.set.Instance, s.set.AdvertisedPeers = self.Instance, self.PeerAddress
+				s.members = membership.New(s.self(), nil, rand.New(rand.NewPCG(1, 1)), membership.DefaultBudget)
+				var own []platform.Entry
+				for other := range instances {
+					if test.listed(i, other) {
+						own = append(own, record(other))
+					}
+					if other != i && test.heard(i, other) {
+						s.members.Receive(time.Now(), membership.Message{From: member(other)})
+					}
+				}
+				s.setEntries(own)
+				asked, isReader := s.readers()
+				for _, reader := range asked {
+					named[reader.Instance]++
+				}
+				if isReader {
+					readers = append(readers, self.Instance)
+				}
+			}
+			require.Len(t, readers, readersPerDomain)
+			require.Equal(t, map[string]int{readers[0]: instances, readers[1]: instances}, named)
+		})
+	}
+}
--- a/serving/process/membership/members.go
+++ b/serving/process/membership/members.go
@@ -204,3 +204,19 @@
 	}
 	return live
 }
+
+// Reachable returns the members worth a call, without this instance and sorted by instance:
+// the live ones, and those learnt of a short time ago that nobody failed to reach. Where all
+// have the same list of a fleet that has just started, they come to the same members before
+// they have heard from each other. Draining and leaving members are left out.
+func (t *Table) Reachable(now time.Time) []Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var reachable []Member
+	for _, m := range t.sorted {
+		if t.reachableNow(now, m) && !m.draining && t.leaving[m.name] == nil {
+			reachable = append(reachable, m.Member)
+		}
+	}
+	return reachable
+}
--- a/serving/process/membership/message.go
+++ b/serving/process/membership/message.go
@@ -19,6 +19,8 @@
 	PeerAddress string `cbor:"5,keyasint"`
 	// CallerAddress is HOST:PORT of the listener for callers.
 	CallerAddress string `cbor:"6,keyasint"`
+	// MemoryMB is the memory limit of the process, 0 when it is not told.
+	MemoryMB int `cbor:"7,keyasint,omitempty"`
 }
 
 // Leaving is an incarnation of an instance, entry or backend server, that will go.
--- a/serving/process/membership/table.go
+++ b/serving/process/membership/table.go
@@ -273,6 +273,7 @@
 		FailureDomain: listed.FailureDomain,
 		PeerAddress:   listed.PeerAddress,
 		CallerAddress: listed.Address,
+		MemoryMB:      listed.MemoryMB,
 	}, true)
 }
 
--- a/serving/process/platform/wire.go
+++ b/serving/process/platform/wire.go
@@ -103,6 +103,8 @@
 	FailureDomain string `json:"failure_domain"`
 	Class         string `json:"class"`
 	Reclaimable   bool   `json:"reclaimable"`
+	// MemoryMB is the memory limit of the instance's process, 0 when it is not told.
+	MemoryMB int `json:"memory_mb,omitempty"`
 	// PricePerHour is the price of the instance in dollars per hour.
 	PricePerHour float64 `json:"price_per_hour"`
 	Leaving      bool    `json:"leaving,omitempty"`
