Measure time by the steady clock in routing, budget and intake

Cause: the routing table, the budget of repeats and the intake that sizes the fleet counted in nanoseconds of the time of day. Where it jumps (clock_step of the users' sites), a barred backend server stayed barred for the length of a jump back, the budget of repeats was given out once more behind a jump forward, and the intake read up to three times the load.

Ruled out: limits of accounts, leases and views, which use differences of time.Now or the clock since boot.

Change: clock.Steady, a number since 1970 that grows evenly, in place of UnixNano.

--- a/serving/process/sizing/intake.go
+++ b/serving/process/sizing/intake.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"papayaport.dev/serving/process/clock"
 )
 
 // intakeTime is the time over which the intake is averaged: long enough for a few large
@@ -58,7 +60,7 @@
 			sum += tokens
 		}
 		// The step that is being filled counts in part.
-		filled := time.Duration(now.UnixNano()-one.turn*int64(intakeStep)) + intakeTime
+		filled := clock.Steady(now) - time.Duration(one.turn)*intakeStep + intakeTime
 		rates[service] = sum / max(min(filled, now.Sub(one.first)), time.Second).Seconds()
 	}
 	return rates
@@ -66,7 +68,7 @@
 
 // advance empties the steps that have passed.
 func (o *intake) advance(now time.Time) {
-	turn := now.UnixNano() / int64(intakeStep)
+	turn := int64(clock.Steady(now) / intakeStep)
 	if turn-o.turn > intakeSteps {
 		o.tokens = [intakeSteps + 1]float64{}
 		o.turn = max(o.turn, turn)
--- a/serving/process/sizing/intake_test.go
+++ b/serving/process/sizing/intake_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"papayaport.dev/serving/process/clock/clocktest"
 	"papayaport.dev/serving/process/sizing"
 )
 
@@ -26,3 +27,24 @@
 	intake.Admitted(at(21*time.Second), "llm", 3*rate)
 	require.InEpsilon(t, rate, intake.PerSecond(at(21 * time.Second))["llm"], 0.2, "one large prompt")
 }
+
+// TestIntakeOfAClockThatJumps guards against a fleet that is sized by a jump of the time of
+// day.
+func TestIntakeOfAClockThatJumps(t *testing.T) {
+	for name, jump := range map[string]time.Duration{"forward": 4 * time.Second, "back": -4 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			intake, now := sizing.NewIntake(), time.Now()
+			const rate = 10_000
+			for after := time.Duration(0); after < 10*time.Second; after += 100 * time.Millisecond {
+				at := now.Add(after)
+				if after >= 5*time.Second {
+					at = clocktest.Step(at, jump)
+				}
+				intake.Admitted(at, "llm", rate/10)
+				if after >= 2*time.Second {
+					require.InEpsilon(t, rate, intake.PerSecond(at)["llm"], 0.15, "after %v", after)
+				}
+			}
+		})
+	}
+}
--- a/serving/request/budget/budget.go
+++ b/serving/request/budget/budget.go
@@ -18,6 +18,8 @@
 import (
 	"sync"
 	"time"
+
+	"papayaport.dev/serving/process/clock"
 )
 
 // buckets is the number of parts that a window is counted in. One more is kept, so that
@@ -93,7 +95,7 @@
 
 // at returns the counts of a service with the buckets of passed time emptied.
 func (t *Table) at(now time.Time, service string) *counts {
-	turn := now.UnixNano() / int64(t.limits.Window/buckets)
+	turn := int64(clock.Steady(now) / (t.limits.Window / buckets))
 	c := t.services[service]
 	if c == nil {
 		c = &counts{turn: turn}
--- a/serving/request/budget/budget_test.go
+++ b/serving/request/budget/budget_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"papayaport.dev/serving/process/clock/clocktest"
 	"papayaport.dev/serving/request/budget"
 )
 
@@ -77,3 +78,23 @@
 	require.Zero(t, spend(5*time.Second))
 	require.Equal(t, 4, spend(12*time.Second))
 }
+
+// TestBudgetOfAClockThatJumps guards against an allowance that is given out once more when
+// the time of day jumps, and one that stays spent when it jumps back.
+func TestBudgetOfAClockThatJumps(t *testing.T) {
+	for name, jump := range map[string]time.Duration{"forward": 30 * time.Second, "back": -30 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			table := budget.New(budget.Limits{Ratio: 0.2, Window: 10 * time.Second, Allowance: 5})
+			now := time.Now()
+			spend := func(at time.Time) (spent int) {
+				for table.Take(at, "s") {
+					spent++
+				}
+				return spent
+			}
+			require.Equal(t, 4, spend(now))
+			require.Zero(t, spend(clocktest.Step(now.Add(5*time.Second), jump)))
+			require.Equal(t, 4, spend(clocktest.Step(now.Add(12*time.Second), jump)))
+		})
+	}
+}
--- a/serving/request/route/backend.go
+++ b/serving/request/route/backend.go
@@ -9,16 +9,17 @@
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
 	"papayaport.dev/serving/connection/engine"
+	"papayaport.dev/serving/process/clock"
 	"papayaport.dev/serving/process/membership"
 	"papayaport.dev/serving/request/prefix"
 )
 
-// moment is a time in nanoseconds since 1970. The estimates use it because every choice
+// moment is a steady time in nanoseconds. The estimates use it because every choice
 // compares several times of every candidate.
 type moment int64
 
 // at returns the moment of a time.
-func at(t time.Time) moment { return moment(t.UnixNano()) }
+func at(t time.Time) moment { return moment(clock.Steady(t)) }
 
 // since returns the time that passed since an earlier moment.
 func (m moment) since(earlier moment) time.Duration { return time.Duration(m - earlier) }
--- a/serving/request/route/backend_test.go
+++ b/serving/request/route/backend_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"papayaport.dev/serving/connection/engine"
+	"papayaport.dev/serving/process/clock/clocktest"
 	"papayaport.dev/serving/process/membership"
 	"papayaport.dev/serving/request/prefix"
 	"papayaport.dev/serving/request/route"
@@ -294,3 +296,32 @@
 	request.Exclude = []string{id(0)}
 	require.Greater(t, choose(t, table, now, request).FirstToken, before+100*time.Millisecond)
 }
+
+// TestBarOfAClockThatJumps guards against a server that stays barred, or is trusted at once,
+// because the time of day jumps.
+func TestBarOfAClockThatJumps(t *testing.T) {
+	for name, jump := range map[string]time.Duration{"forward": time.Hour, "back": -time.Hour} {
+		t.Run(name, func(t *testing.T) {
+			list := backends(2)
+			list[0].PricePerHour = 0.5
+			table, err := route.New(self, route.Papayaport, rand.New(rand.NewPCG(1, 2)))
+			require.NoError(t, err)
+			now := time.Now()
+			table.SetBackends(now, list)
+			for _, b := range list {
+				table.Report(now, b.ID, load(0))
+			}
+			request := route.Request{Service: "model-bench", PromptTokens: 10, AnswerTokens: 20, Target: target}
+			chosen := func(after time.Duration) string {
+				at := clocktest.Step(now.Add(after), jump)
+				attempt := fmt.Sprint(after)
+				defer table.Done(at, attempt, route.Cancelled, 0)
+				return send(t, table, at, attempt, request).Backend.ID
+			}
+			send(t, table, now, "wrong", request)
+			table.Done(now, "wrong", route.Wrong, 0)
+			require.Equal(t, id(1), chosen(time.Millisecond), "barred")
+			require.Equal(t, id(0), chosen(time.Minute), "the bar has passed")
+		})
+	}
+}
