Report every window that is still due after a change of the holder

The next holder took over at 23.0 and began with the window behind the one that had ended 12 s before: the look back of 15 s named the window that contains that moment as reported.

Also seen in this code: each window that is due read all records and asked all instances, so that a change of the holder cost as many reads and rounds as windows.

Change: all windows of the last 30 s are due, and their sums rest on one read of the records, one round of questions and one write. Sums stay twice as long as a window may be reported, so that a holder whose clock is behind does not fix one anew. Windows go by clock.Calendar: a time of day that jumps and comes back no longer moves requests into another window.

TestDueWindows and TestTakingOverTheReports did not exist before; the first one fails on the old look back, the second one on three lists for three windows.

--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -127,7 +127,7 @@
 
 // Usage counts the requests that began to run.
 type Usage interface {
-	Began(at time.Time, account string)
+	Began(account string)
 }
 
 // Intake measures the work that is taken in.
--- a/entry/relay/run.go
+++ b/entry/relay/run.go
@@ -298,7 +298,7 @@
 func (r *run) began() {
 	if !r.begun && r.account != nil {
 		r.begun = true
-		r.relay.Usage.Began(time.Now(), r.account.Name)
+		r.relay.Usage.Began(r.account.Name)
 	}
 }
 
--- a/entry/site/duties.go
+++ b/entry/site/duties.go
@@ -24,16 +24,20 @@
 	reportAfter = 2500 * time.Millisecond
 	// reportWithin is how long after its end a window is still worth a report.
 	reportWithin = 30 * time.Second
+	// keptSums is the number of windows whose fixed sums are kept: twice those that a holder
+	// may still report, so that one whose clock is behind finds them.
+	keptSums = 2 * keptWindows
 	// callTimeout bounds one call of a duty.
 	callTimeout = time.Second
 )
 
 // duty is the state of the holder of the duties.
 type duty struct {
-	fencing  uint64
+	fencing uint64
+	// reported is the last window that was reported or given up.
 	reported int64
-	// reporting is the window that is being reported and is repeated until it is accepted.
-	reporting *usage.Window
+	// fixed holds the sums that were decided and not reported yet, by window.
+	fixed map[int64]usage.Counts
 }
 
 // runDuties does what one entry instance does for all, while it holds the lease.
@@ -60,98 +64,133 @@
 	return held && now == fencing
 }
 
+// dueWindows returns the windows behind the last reported one that are due, oldest first. A
+// holder that has just taken over has reported none: windows that the one before it may
+// have reported are repeated, since the sums that were fixed stay the same.
+func (s *Site) dueWindows(now time.Time, reported int64) []int64 {
+	oldest := max(reported+1, s.usage.Number(now.Add(-reportWithin)))
+	var due []int64
+	for number := oldest; number < s.usage.Number(now.Add(-reportAfter)); number++ {
+		due = append(due, number)
+	}
+	return due
+}
+
+// reportUsage fixes the sums of the windows that are due and sends them, oldest first.
 func (s *Site) reportUsage(ctx context.Context, d *duty) {
-	now := time.Now()
-	due := s.usage.Number(now.Add(-reportAfter)) - 1
-	if d.reported == 0 {
-		// Windows that ended before are repeated, in case that the holder before did not
-		// get to them; the sums that were fixed stay the same.
-		d.reported = s.usage.Number(now.Add(-reportWithin / 2))
-	}
-	for number := d.reported + 1; number <= due; number++ {
-		if !s.reportWindow(ctx, d, number) {
+	due := s.dueWindows(s.calendar.Now(), d.reported)
+	if len(due) == 0 {
+		return
+	}
+	log := s.part("duties")
+	if d.reported > 0 && due[0] > d.reported+1 {
+		log.WithFields(logrus.Fields{"from": d.reported + 1, "to": due[0] - 1}).Warn("duties: windows given up, too old")
+	}
+	if _, found := d.fixed[due[len(due)-1]]; !found {
+		fixed, err := s.fixWindows(ctx, due)
+		if err != nil {
+			log.WithError(err).WithField("window", due[0]).Warn("duties: sums of windows not fixed, tried again")
+			return
+		}
+		d.fixed = fixed
+	}
+	for _, number := range due {
+		if !s.reportWindow(ctx, d.fencing, usage.Window{Number: number, Counts: d.fixed[number]}) {
 			return
 		}
 		d.reported = number
+		delete(d.fixed, number)
 	}
 }
 
-// reportWindow fixes the sum of a window and sends it. False asks for another try.
-func (s *Site) reportWindow(ctx context.Context, d *duty, number int64) bool {
-	log := s.part("duties").WithField("window", number)
-	if time.Since(s.usage.End(number)) > reportWithin {
-		log.Warn("duties: window given up, too old")
-		return true
-	}
-	if d.reporting == nil || d.reporting.Number != number {
-		window, err := s.fixWindow(ctx, number)
-		if err != nil {
-			log.WithError(err).Warn("duties: sum of the window not fixed, tried again")
-			return false
-		}
-		d.reporting = &window
-	}
-	if !s.stillHolds(d.fencing) {
+// reportWindow sends the sum of a window. False asks for another try.
+func (s *Site) reportWindow(ctx context.Context, fencing uint64, window usage.Window) bool {
+	if !s.stillHolds(fencing) {
 		return false
 	}
+	log := s.part("duties").WithField("window", window.Number)
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if err := s.platform.Duties.Report(ctx, s.duty(d.fencing), *d.reporting); err != nil {
+	if err := s.platform.Duties.Report(ctx, s.duty(fencing), window); err != nil {
 		log.WithError(err).Warn("duties: window not reported, tried again")
 		return false
 	}
-	log.WithFields(logrus.Fields{"counts": d.reporting.Counts, "fencing": d.fencing}).Info("duties: window reported")
+	log.WithFields(logrus.Fields{"counts": window.Counts, "fencing": fencing}).Info("duties: window reported")
 	return true
 }
 
-// fixWindow decides the counts of a window by a conditional write, or returns what was
-// decided before.
-func (s *Site) fixWindow(ctx context.Context, number int64) (usage.Window, error) {
+// fixWindows decides the counts of windows by one conditional write. Those that were
+// decided before stay as they are. All windows rest on one read of the records and one
+// round of questions, so that taking over from a holder costs no more than a window.
+func (s *Site) fixWindows(ctx context.Context, numbers []int64) (map[int64]usage.Counts, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	entries, err := s.platform.Store.List(ctx, entriesPrefix)
-	if err != nil {
-		return usage.Window{}, err
-	}
-	// A holder that has just taken over heard nothing yet.
-	s.callRoll(ctx, true)
-	written := map[string]usage.Counts{}
-	for _, instance := range s.told.Instances() {
-		written[instance] = nil
-	}
-	for _, r := range s.setEntries(entries.Entries) {
-		written[r.instance] = r.Usage[number]
-	}
-	var all []usage.Counts
-	for instance, counts := range written {
-		all = append(all, s.told.Counts(instance, number, counts))
-	}
-	fixed := map[int64]usage.Counts{}
 	entry, err := s.platform.Store.Get(ctx, reportsKey)
+	kept := map[int64]usage.Counts{}
 	switch {
 	case errors.Is(err, store.ErrNotFound):
 	case err != nil:
-		return usage.Window{}, err
+		return nil, err
 	default:
-		if err := json.Unmarshal(entry.Value, &fixed); err != nil {
-			return usage.Window{}, errors.Wrap(err, "fixed sums")
+		if err := json.Unmarshal(entry.Value, &kept); err != nil {
+			return nil, errors.Wrap(err, "fixed sums")
+		}
+	}
+	fixed := map[int64]usage.Counts{}
+	var missing []int64
+	for _, number := range numbers {
+		if counts, found := kept[number]; found {
+			fixed[number] = counts
+		} else {
+			missing = append(missing, number)
 		}
 	}
-	if counts, found := fixed[number]; found {
-		return usage.Window{Number: number, Counts: counts}, nil
+	if len(missing) == 0 {
+		return fixed, nil
 	}
-	window := usage.Window{Number: number, Counts: usage.Sum(all)}
-	fixed[number] = window.Counts
-	maps.DeleteFunc(fixed, func(other int64, _ usage.Counts) bool { return other <= number-keptWindows })
-	value, err := json.Marshal(fixed)
+	sums, err := s.sumWindows(ctx, missing)
 	if err != nil {
-		return usage.Window{}, errors.Wrap(err, "encode sums")
+		return nil, err
+	}
+	maps.Copy(kept, sums)
+	maps.Copy(fixed, sums)
+	newest := numbers[len(numbers)-1]
+	maps.DeleteFunc(kept, func(other int64, _ usage.Counts) bool { return other <= newest-keptSums })
+	value, err := json.Marshal(kept)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode sums")
 	}
 	if _, err := s.platform.Store.Put(ctx, reportsKey, value, entry.Revision); err != nil {
 		// The next try reads what stands there, whoever wrote it.
-		return usage.Window{}, err
+		return nil, err
+	}
+	return fixed, nil
+}
+
+// sumWindows adds up what all entry instances wrote or told of windows.
+func (s *Site) sumWindows(ctx context.Context, numbers []int64) (map[int64]usage.Counts, error) {
+	entries, err := s.platform.Store.List(ctx, entriesPrefix)
+	if err != nil {
+		return nil, err
+	}
+	// A holder that has just taken over heard nothing yet.
+	s.callRoll(ctx, true)
+	written := map[string]map[int64]usage.Counts{}
+	for _, instance := range s.told.Instances() {
+		written[instance] = nil
+	}
+	for _, r := range s.setEntries(entries.Entries) {
+		written[r.instance] = r.Usage
+	}
+	sums := map[int64]usage.Counts{}
+	for _, number := range numbers {
+		var all []usage.Counts
+		for instance, windows := range written {
+			all = append(all, s.told.Counts(instance, number, windows[number]))
+		}
+		sums[number] = usage.Sum(all)
 	}
-	return window, nil
+	return sums, nil
 }
 
 func (s *Site) duty(fencing uint64) Duty { return Duty{Holder: s.set.Instance, Fencing: fencing} }
--- /dev/null
+++ b/entry/site/duties_test.go
@@ -0,0 +1,121 @@
+package site
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"papayaport.dev/serving/process/platform"
+	"papayaport.dev/serving/process/platform/store"
+	"papayaport.dev/serving/process/usage"
+)
+
+// fakeStore keeps keys in memory and counts calls.
+type fakeStore struct {
+	Store
+	entries  map[string]platform.Entry
+	revision uint64
+	calls    map[string]int
+}
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{entries: map[string]platform.Entry{}, calls: map[string]int{}}
+}
+
+// Get implements Store.
+func (f *fakeStore) Get(_ context.Context, key string) (platform.Entry, error) {
+	f.calls["get"]++
+	entry, found := f.entries[key]
+	if !found {
+		return platform.Entry{}, store.ErrNotFound
+	}
+	return entry, nil
+}
+
+// List implements Store.
+func (f *fakeStore) List(_ context.Context, prefix string) (platform.Entries, error) {
+	f.calls["list"]++
+	var listed platform.Entries
+	for key, entry := range f.entries {
+		if len(key) >= len(prefix) && key[:len(prefix)] == prefix {
+			listed.Entries = append(listed.Entries, entry)
+		}
+	}
+	return listed, nil
+}
+
+// Put implements Store.
+func (f *fakeStore) Put(_ context.Context, key string, value []byte, ifRevision uint64) (platform.Entry, error) {
+	f.calls["put"]++
+	if ifRevision != store.AnyRevision && f.entries[key].Revision != ifRevision {
+		return platform.Entry{}, &store.Conflict{Entry: f.entries[key]}
+	}
+	f.revision++
+	f.entries[key] = platform.Entry{Key: key, Value: value, Revision: f.revision}
+	return f.entries[key], nil
+}
+
+// TestDueWindows guards against windows that nobody reports, because the holder before
+// ended and the one behind it does not look back far enough.
+func TestDueWindows(t *testing.T) {
+	s := newTestSite(t)
+	length := seconds(s.set.Usage.WindowS)
+	start := time.Unix(0, 0).Add(1000 * length) // the start of window 1000
+	for name, test := range map[string]struct {
+		behind   time.Duration // the start of window 1000
+		reported int64
+		want     []int64
+	}{
+		"a window has just ended":           {time.Second, 998, nil},
+		"its records are there":             {3 * time.Second, 998, []int64{999}},
+		"reported":                          {4 * time.Second, 999, nil},
+		"one that ended 12 s ago, a change": {2 * time.Second, 0, []int64{994, 995, 996, 997, 998}},
+		"two late":                          {3 * time.Second, 997, []int64{998, 999}},
+		"a long outage":                     {3 * time.Second, 900, []int64{994, 995, 996, 997, 998, 999}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			require.Equal(t, test.want, s.dueWindows(start.Add(test.behind), test.reported))
+		})
+	}
+}
+
+// TestTakingOverTheReports lets a holder take over with several windows due. The records
+// are read once for all of them, what was fixed before stays, and a second try changes
+// nothing.
+func TestTakingOverTheReports(t *testing.T) {
+	s := newTestSite(t)
+	keys := newFakeStore()
+	s.platform.Store = keys
+	ctx := context.Background()
+	for instance, counts := range map[string]map[int64]usage.Counts{
+		"one": {7: {"a": 1}, 8: {"a": 2}, 9: {"a": 3}},
+		"two": {7: {"a": 10}, 8: {"b": 20}},
+	} {
+		value, err := json.Marshal(record{Incarnation: 1, Usage: counts})
+		require.NoError(t, err)
+		_, err = keys.Put(ctx, entriesPrefix+instance, value, store.AnyRevision)
+		require.NoError(t, err)
+	}
+	_, err := keys.Put(ctx, reportsKey, []byte(`{"7": {"a": 5}}`), store.AnyRevision)
+	require.NoError(t, err)
+	want := map[int64]usage.Counts{7: {"a": 5}, 8: {"a": 2, "b": 20}, 9: {"a": 3}}
+
+	keys.calls = map[string]int{}
+	fixed, err := s.fixWindows(ctx, []int64{7, 8, 9})
+	require.NoError(t, err)
+	require.Equal(t, want, fixed)
+	require.Equal(t, map[string]int{"list": 1, "get": 1, "put": 1}, keys.calls)
+
+	value, err := json.Marshal(record{Incarnation: 2, Usage: map[int64]usage.Counts{8: {"a": 99}}})
+	require.NoError(t, err)
+	_, err = keys.Put(ctx, entriesPrefix+"one", value, store.AnyRevision)
+	require.NoError(t, err)
+	keys.calls = map[string]int{}
+	fixed, err = s.fixWindows(ctx, []int64{7, 8, 9})
+	require.NoError(t, err)
+	require.Equal(t, want, fixed, "a sum that may have been reported stays")
+	require.Equal(t, map[string]int{"get": 1}, keys.calls)
+}
--- a/entry/site/record.go
+++ b/entry/site/record.go
@@ -23,7 +23,7 @@
 	recordPeriod = 250 * time.Millisecond
 	// flushTimeout bounds the last write of a process, within the margin of its grace.
 	flushTimeout = 400 * time.Millisecond
-	// keptWindows is the number of windows that stay in a record and among the fixed sums.
+	// keptWindows is the number of windows that stay in a record.
 	keptWindows = usage.Kept
 )
 
@@ -54,11 +54,11 @@
 
 // runRecord keeps this instance's record in the store, and finds the others.
 func (s *Site) runRecord(ctx context.Context) error {
-	return clock.Every(ctx, recordPeriod, func(ctx context.Context, now time.Time) {
+	return clock.Every(ctx, recordPeriod, func(ctx context.Context, _ time.Time) {
 		if !s.record.loaded {
 			s.loadRecord(ctx)
 		}
-		for _, window := range s.usage.Ended(now) {
+		for _, window := range s.usage.Ended(s.calendar.Now()) {
 			s.addWindow(window)
 		}
 		if s.record.loaded && s.record.dirty {
@@ -67,6 +67,9 @@
 	})
 }
 
+// Began counts a request that began to run.
+func (s *Site) Began(account string) { s.usage.Began(s.calendar.Now(), account) }
+
 // loadRecord takes over the windows that the process before this one left behind.
 func (s *Site) loadRecord(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -121,11 +121,13 @@
 	quota     *quota.Table
 	budget    *budget.Table
 	pool      *upstream.Pool
-	usage     *usage.Counter
-	members   *membership.Table
-	peers     *peer.Client
-	exchange  *exchange.Exchange
-	leases    *lease.Leases
+	// usage counts by windows of the calendar.
+	usage    *usage.Counter
+	calendar *clock.Calendar
+	members  *membership.Table
+	peers    *peer.Client
+	exchange *exchange.Exchange
+	leases   *lease.Leases
 
 	// mu guards servers, records and listed. Nothing is locked under it.
 	mu      sync.Mutex
@@ -176,6 +178,7 @@
 	dialled := s.meters.NewCounter("papayaport_backend_dials_total")
 	s.pool = upstream.New(upstream.Options{DialTimeout: dialTimeout, EchoHeader: p.EchoHeader, Dialled: dialled.Inc})
 	s.usage, s.told = usage.New(seconds(set.Usage.WindowS)), usage.NewHeard()
+	s.calendar = clock.NewCalendar(s.started, clock.Boot())
 	s.members = membership.New(s.self(), set.SeedPeers, seeded(), membership.DefaultBudget)
 	s.peers = peer.New(peer.DefaultOptions())
 	s.exchange = exchange.New(exchange.Parts{
@@ -184,7 +187,7 @@
 	s.leases = lease.New(lapsing{p.Store}, set.Instance+"/"+formatIncarnation(s.incarnation()), s.wantedLeases, s.leaseRank,
 		s.leaseTTL(), clock.Boot, seeded())
 	s.relay = relay.New(relay.Parts{
-		Versions: &s.keeper, Routes: s.routes, Limiter: s, Intake: s.intake, Budget: s.budget, Pool: s.pool, Usage: s.usage,
+		Versions: &s.keeper, Routes: s.routes, Limiter: s, Intake: s.intake, Budget: s.budget, Pool: s.pool, Usage: s,
 		Codec: p.Codec, Meters: relay.NewMeters(s.meters), Entries: s.entries, Draw: rand.Float64, Log: s.part("relay"),
 	})
 	s.overdue = s.meters.NewCounter("papayaport_caller_connections_overdue_total")
