Take over a lease when a look at the store shows that nobody has it

Cause: candidates knew of the end of a lease only by asking for it, every 1.5 to 2.3 s, and only the first two live ones asked. In the first seconds behind a kill of all instances none had heard of another, so that all of them ranked themselves first: 195 instances asked for the lease at a time. And with the loss of a failure domain the first two may be gone and still be taken for live for up to 30 s.

Change: the view of the store, which every instance has anyway, tells which leases are held. One that is held is not asked for; one that lapses is asked for at once by the first two candidates, and by twice as many with each further second. Candidates rank by memory and then by hash, among members that are worth a call.

The stateful test of one holder draws looks that are true or not.

--- a/entry/site/exchange.go
+++ b/entry/site/exchange.go
@@ -103,12 +103,21 @@
 	return []string{dutyLease}
 }
 
+// leaseRank counts the instances that come before this one for a lease, among all that are
+// worth a call: those with more memory, since the holder asks all others and where machines
+// differ the processor grows with it, and among equals by the lease's own rank.
 func (s *Site) leaseRank(name string) int {
-	var others []string
-	for _, member := range s.members.Live(time.Now()) {
-		others = append(others, member.Instance)
+	larger := 0
+	var equals []string
+	for _, member := range s.members.Reachable(time.Now()) {
+		switch {
+		case member.MemoryMB > s.set.MemoryMB:
+			larger++
+		case member.MemoryMB == s.set.MemoryMB:
+			equals = append(equals, member.Instance)
+		}
 	}
-	return lease.Rank(name, s.set.Instance, others)
+	return larger + lease.Rank(name, s.set.Instance, equals)
 }
 
 // leaseMargin is added to the time for which the platform counts a duty as its holder's,
--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -59,6 +59,8 @@
 	Servers       []directory.Server
 	// Own holds what entry instances keep there themselves.
 	Own []platform.Entry
+	// Leases names the leases that some instance holds.
+	Leases []string
 }
 
 // Viewer reads the whole of the platform's store. One read a look serves everything that
--- a/entry/site/views.go
+++ b/entry/site/views.go
@@ -54,6 +54,8 @@
 	configuration []byte
 	servers       []directory.Server
 	own           []platform.Entry
+	// leases names the leases that some instance holds.
+	leases []string
 	// configurationDigest and serversDigest tell whether a peer has the same.
 	configurationDigest, serversDigest uint64
 }
@@ -74,6 +76,8 @@
 	SameServers   bool               `cbor:"3,keyasint,omitempty"`
 	Servers       []directory.Server `cbor:"4,keyasint,omitempty"`
 	Own           []platform.Entry   `cbor:"5,keyasint,omitempty"`
+	// Leases is nil when the peer does not tell them.
+	Leases []string `cbor:"6,keyasint"`
 }
 
 // digest fills in the digests.
@@ -92,7 +96,9 @@
 	if held == nil {
 		return nil
 	}
-	answer := &viewReply{AgeMS: clock.Boot().Sub(held.at).Milliseconds(), SameServers: held.serversDigest == question.Servers}
+	answer := &viewReply{
+		AgeMS: clock.Boot().Sub(held.at).Milliseconds(), SameServers: held.serversDigest == question.Servers, Leases: held.leases,
+	}
 	if held.configurationDigest != question.Configuration {
 		answer.Configuration = held.configuration
 	}
@@ -168,7 +174,8 @@
 		return false
 	}
 	s.setEntries(view.Own)
-	v.take(heldView{at: at, configuration: view.Configuration, servers: view.Servers, own: view.Own}, "store")
+	leases := append([]string{}, view.Leases...) // peers tell none from not told
+	v.take(heldView{at: at, configuration: view.Configuration, servers: view.Servers, own: view.Own, leases: leases}, "store")
 	v.ownAt = at
 	return true
 }
@@ -221,6 +228,7 @@
 	if !answer.SameServers {
 		view.servers = answer.Servers
 	}
+	view.leases = answer.Leases
 	if view.at.Before(held.at) {
 		return // another reader was ahead
 	}
@@ -245,6 +253,9 @@
 		s.part("directory").WithError(err).Error("directory: view not kept for peers")
 	}
 	s.view.Store(&view)
+	if view.leases != nil {
+		s.leases.Seen(dutyLease, slices.Contains(view.leases, dutyLease))
+	}
 	s.setServers(now, v.table.Listed(now, view.servers))
 }
 
--- a/serving/process/lease/lease.go
+++ b/serving/process/lease/lease.go
@@ -18,7 +18,9 @@
 // on a compare-and-swap or on a fencing check besides.
 //
 // Candidates are ranked by Rank. Only the first two make calls, so that the number of
-// calls follows the number of leases and not the number of entry instances.
+// calls follows the number of leases and not the number of entry instances. Whoever looks
+// at the store for another reason tells what it saw with Seen; a lease that somebody has is
+// not asked for then, and one that nobody has is asked for by more and more candidates.
 //
 // Leases.mu is held for no longer than a step of a Machine; no other lock is taken
 // under it.
@@ -123,6 +125,15 @@
 	}
 }
 
+// Seen tells what a look at the store showed of a lease: whether anybody held it.
+func (l *Leases) Seen(name string, held bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if machine := l.machines[name]; machine != nil {
+		machine.Seen(l.clock(), held)
+	}
+}
+
 // Run tries for and renews leases until ctx ends, and then releases those held.
 func (l *Leases) Run(ctx context.Context) error {
 	var calls errgroup.Group
--- a/serving/process/lease/machine.go
+++ b/serving/process/lease/machine.go
@@ -12,8 +12,16 @@
 	// marginShare is the part of the TTL at whose start a holder stops to act. It covers
 	// the time between the check and the effect, and clocks of different rates.
 	marginShare = 4
-	// contenders is the number of candidates that try for a lease held by another.
-	contenders = 2
+	// contenders is the number of candidates that try for a lease held by another. It doubles
+	// with each widenPeriod in which nobody was seen to hold the lease: the first ones may be
+	// gone, and are taken for live for up to half a minute.
+	contenders  = 2
+	widenPeriod = time.Second
+	// mostDoublings bounds the doublings, above any size of a fleet.
+	mostDoublings = 16
+	// seenFor is how long a lease that was seen with a holder is not asked for: a few looks
+	// at the store.
+	seenFor = 3 * time.Second
 	// firstBackoff is the wait after the first call without an answer; it doubles up to
 	// the TTL.
 	firstBackoff = 500 * time.Millisecond
@@ -77,11 +85,14 @@
 	sent    time.Time
 	next    time.Time
 	backoff time.Duration
+	// lapsed is since when nobody was seen to hold the lease, zero while somebody is or
+	// nothing is known.
+	lapsed time.Time
 }
 
 // Step returns the call that is due. Rank is the candidate's place in the order of
 // candidates, from 0; wanted tells whether it should have the lease at all. Candidates
-// behind the first two make no calls.
+// behind the first ones make no calls.
 func (m *Machine) Step(now time.Time, rank int, wanted bool) Order {
 	if m.pending != NoCall || now.Before(m.next) {
 		return Order{}
@@ -95,12 +106,40 @@
 	if m.fencing != 0 {
 		return m.order(now, RenewCall)
 	}
-	if rank >= contenders {
+	if rank >= m.contenders(now) {
 		return Order{}
 	}
 	return m.order(now, AcquireCall)
 }
 
+func (m *Machine) contenders(now time.Time) int {
+	if m.lapsed.IsZero() {
+		return contenders
+	}
+	return contenders << min(int(now.Sub(m.lapsed)/widenPeriod), mostDoublings)
+}
+
+// Seen tells what a look at the store showed: whether anybody held the lease. It spares
+// the calls for a lease that another has, and finds its end.
+func (m *Machine) Seen(now time.Time, held bool) {
+	began := !held && m.lapsed.IsZero()
+	switch {
+	case held:
+		m.lapsed = time.Time{}
+	case began:
+		m.lapsed = now
+	}
+	if m.fencing != 0 || m.pending != NoCall {
+		return
+	}
+	if until := now.Add(seenFor); held && until.After(m.next) {
+		m.next = until
+	}
+	if began && m.backoff == 0 {
+		m.next = now
+	}
+}
+
 func (m *Machine) order(now time.Time, call Call) Order {
 	m.pending = call
 	m.sent = now
--- a/serving/process/lease/machine_test.go
+++ b/serving/process/lease/machine_test.go
@@ -192,6 +192,10 @@
 				elapsed += time.Duration(rapid.IntRange(1, 4000).Draw(t, "ms")) * time.Millisecond
 			},
 			"outage": func(*rapid.T) { outage = !outage },
+			"look": func(t *rapid.T) {
+				_, c := pick(t)
+				c.machine.Seen(c.now(elapsed), rapid.Bool().Draw(t, "held"))
+			},
 			"step": func(t *rapid.T) {
 				_, c := pick(t)
 				wanted := rapid.IntRange(0, 9).Draw(t, "wanted") > 0
@@ -253,3 +257,53 @@
 		})
 	})
 }
+
+// TestSeenLeaseIsTakenAtItsEnd guards against a lease without a holder that a look at the
+// store has shown, and against calls for one that another has.
+func TestSeenLeaseIsTakenAtItsEnd(t *testing.T) {
+	const look = 700 * time.Millisecond
+	m := &lease.Machine{TTL: ttl, Random: random()}
+	require.Equal(t, lease.AcquireCall, m.Step(start, 1, true).Call)
+	m.Answered(start, lease.Answer{Outcome: lease.Refused, Left: 1500 * time.Millisecond})
+	now := start
+	for ; now.Before(start.Add(time.Minute)); now = now.Add(look) {
+		m.Seen(now, true)
+		require.Equal(t, lease.NoCall, m.Step(now.Add(look), 1, true).Call, "held, after %s", now.Sub(start))
+	}
+	m.Seen(now, false)
+	require.Equal(t, lease.AcquireCall, m.Step(now, 1, true).Call)
+	m.Answered(now, lease.Answer{Outcome: lease.Granted, Fencing: 7})
+	m.Seen(now, false) // a look that began before
+	_, held := m.Held(now)
+	require.True(t, held)
+	require.Equal(t, lease.NoCall, m.Step(now, 1, true).Call)
+}
+
+// TestLeaseWithoutItsFirstCandidates guards against a duty that nobody has for as long as
+// the first candidates are taken for live, behind the loss of a failure domain.
+func TestLeaseWithoutItsFirstCandidates(t *testing.T) {
+	const candidates, lost, look = 195, 33, 600 * time.Millisecond
+	calls := 0
+	var taken time.Duration
+	machines := make([]*lease.Machine, candidates)
+	for i := range machines {
+		machines[i] = &lease.Machine{TTL: ttl, Random: random()}
+	}
+	for at := time.Duration(0); at < 10*time.Second && taken == 0; at += 200 * time.Millisecond {
+		for rank, m := range machines {
+			if rank < lost {
+				continue
+			}
+			if at%look == 0 {
+				m.Seen(start.Add(at), at < 2*time.Second)
+			}
+			if m.Step(start.Add(at), rank, true).Call == lease.AcquireCall {
+				calls++
+				taken = at
+			}
+		}
+	}
+	require.NotZero(t, taken)
+	require.Less(t, taken, 8*time.Second)
+	require.Less(t, calls, 64, "not all of them")
+}
