Remove the records of entry instances that are gone for good

With 195 reclaimable instances every replaced one takes half a percent of all limits away for good.

Change: package departure. The holder of the duties watches the records and removes one that has not changed for a minute of unbroken looks and whose instance no peer hears, if it still has the revision that was seen. An instance writes its record every 15 s at least, and gives its parts up by itself when it could not for 40 s of the clock since boot, which runs on while it is suspended; behind that it waits until all others count it again or have given up their own. A process that starts counts at once, as before: until its record has been seen the parts add up to one more than the whole.

Besides, what processes told of their counts is dropped with their windows; it grew with each start.

--- a/entry/site/duties.go
+++ b/entry/site/duties.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"papayaport.dev/serving/process/clock"
+	"papayaport.dev/serving/process/departure"
 	"papayaport.dev/serving/process/platform/store"
 	"papayaport.dev/serving/process/usage"
 )
@@ -38,6 +39,8 @@
 	reported int64
 	// fixed holds the sums that were decided and not reported yet, by window.
 	fixed map[int64]usage.Counts
+	// records watches for instances that are gone for good.
+	records departure.Watch
 }
 
 // runDuties does what one entry instance does for all, while it holds the lease.
@@ -55,6 +58,7 @@
 		}
 		s.reportUsage(ctx, &d)
 		s.orderServers(ctx, d.fencing)
+		s.removeGone(ctx, &d)
 	})
 }
 
@@ -64,6 +68,41 @@
 	return held && now == fencing
 }
 
+// removeGone removes the records of instances that are gone for good, so that parts of
+// limits and budgets are not kept for them.
+func (s *Site) removeGone(ctx context.Context, d *duty) {
+	held := s.view.Load()
+	if held == nil || clock.Boot().Sub(held.at) > ownPeriod {
+		return // what was seen long ago tells nothing of the present
+	}
+	live := map[string]bool{s.set.Instance: true}
+	for _, status := range s.members.Members(time.Now()) {
+		live[status.Instance] = status.Live
+	}
+	s.mu.Lock()
+	var records []departure.Record
+	for _, r := range s.records {
+		records = append(records, departure.Record{Instance: r.instance, Revision: r.revision, Live: live[r.instance]})
+	}
+	s.mu.Unlock()
+	for _, gone := range d.records.Look(clock.Boot(), records) {
+		if !s.stillHolds(d.fencing) {
+			return
+		}
+		log := s.part("record").WithFields(logrus.Fields{"gone": gone.Instance, "revision": gone.Revision})
+		limited, cancel := context.WithTimeout(ctx, callTimeout)
+		err := s.platform.Store.Remove(limited, entriesPrefix+gone.Instance, gone.Revision)
+		cancel()
+		if err != nil {
+			log.WithError(err).Warn("record: of a gone instance not removed, tried again")
+			return
+		}
+		s.told.Forget(gone.Instance)
+		s.rolls.forget(gone.Instance)
+		log.Info("record: of a gone instance removed")
+	}
+}
+
 // dueWindows returns the windows behind the last reported one that are due, oldest first. A
 // holder that has just taken over has reported none: windows that the one before it may
 // have reported are repeated, since the sums that were fixed stay the same.
--- a/entry/site/duties_test.go
+++ b/entry/site/duties_test.go
@@ -3,11 +3,16 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"papayaport.dev/serving/process/clock"
+	"papayaport.dev/serving/process/departure"
+	"papayaport.dev/serving/process/lease"
+	"papayaport.dev/serving/process/membership"
 	"papayaport.dev/serving/process/platform"
 	"papayaport.dev/serving/process/platform/store"
 	"papayaport.dev/serving/process/usage"
@@ -119,3 +124,68 @@
 	require.Equal(t, want, fixed, "a sum that may have been reported stays")
 	require.Equal(t, map[string]int{"get": 1}, keys.calls)
 }
+
+// Acquire implements Store.
+func (f *fakeStore) Acquire(context.Context, string, string, time.Duration) (platform.Lease, error) {
+	return platform.Lease{Fencing: 1}, nil
+}
+
+// Renew implements Store.
+func (f *fakeStore) Renew(context.Context, string, string, uint64, time.Duration) (platform.Lease, error) {
+	return platform.Lease{Fencing: 1}, nil
+}
+
+// Remove implements Store.
+func (f *fakeStore) Remove(_ context.Context, key string, ifRevision uint64) error {
+	if f.entries[key].Revision != ifRevision {
+		return &store.Conflict{Entry: f.entries[key]}
+	}
+	delete(f.entries, key)
+	return nil
+}
+
+// TestRecordsOfGoneInstancesAreRemoved guards against limits that shrink with each instance
+// that was replaced.
+func TestRecordsOfGoneInstancesAreRemoved(t *testing.T) {
+	s := newTestSite(t)
+	keys := newFakeStore()
+	s.platform.Store = keys
+	s.leases = lease.New(lapsing{keys}, "e/1", func() []string { return []string{dutyLease} },
+		func(string) int { return 0 }, time.Minute, clock.Boot, rand.New(rand.NewPCG(1, 1)))
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { _ = s.leases.Run(ctx) }()
+	require.Eventually(t, func() bool { _, held := s.leases.Held(dutyLease); return held }, time.Second, time.Millisecond)
+	for _, instance := range []string{"e", "gone", "writes", "lives"} {
+		_, err := keys.Put(ctx, entriesPrefix+instance, []byte(`{"incarnation": 1, "peer_address": "10.0.0.9:1"}`), store.AnyRevision)
+		require.NoError(t, err)
+	}
+	s.members.Receive(time.Now(), membership.Message{From: membership.Member{Instance: "lives", Incarnation: 1, PeerAddress: "10.0.0.9:1"}})
+	view := func() {
+		listed, err := keys.List(ctx, entriesPrefix)
+		require.NoError(t, err)
+		s.setEntries(listed.Entries)
+		s.view.Store(&heldView{at: clock.Boot()})
+	}
+	view()
+	d := duty{fencing: 1}
+	now := clock.Boot()
+	const period = 5 * time.Second
+	for before := departure.GoneAfter; before > 0; before -= period { // what earlier looks saw
+		var seen []departure.Record
+		for _, r := range s.records {
+			seen = append(seen, departure.Record{Instance: r.instance, Revision: r.revision})
+		}
+		require.Empty(t, d.records.Look(now.Add(-before), seen))
+	}
+	_, err := keys.Put(ctx, entriesPrefix+"writes", []byte(`{"incarnation": 1}`), store.AnyRevision)
+	require.NoError(t, err)
+	_, err = keys.Put(ctx, entriesPrefix+"e", []byte(`{"incarnation": 1}`), store.AnyRevision)
+	require.NoError(t, err)
+	view()
+	require.Equal(t, 4, s.entries())
+	s.removeGone(ctx, &d)
+	view()
+	require.Equal(t, 3, s.entries())
+	require.NotContains(t, keys.entries, entriesPrefix+"gone")
+}
--- a/entry/site/exchange.go
+++ b/entry/site/exchange.go
@@ -33,7 +33,7 @@
 	s.members.SetLocal(now, local)
 	totals := s.members.Totals(now)
 	s.routes.Peers(now, totals)
-	s.admission.SetEntries(now, s.entries())
+	s.admission.SetEntries(now, s.sharers())
 	s.setEarners()
 	s.admission.Peers(now, totals)
 }
--- a/entry/site/pools.go
+++ b/entry/site/pools.go
@@ -114,14 +114,14 @@
 	return reached
 }
 
-// setEarners tells how many instances earn the limits. Before the store's list is known this
-// instance earns nothing.
+// setEarners tells how many instances earn the limits. Before the store's list is known,
+// and while it has no part, this instance earns nothing.
 func (s *Site) setEarners() {
 	s.mu.Lock()
 	known := len(s.records) > 0
 	s.mu.Unlock()
 	if known {
-		s.quota.SetEntries(time.Now(), s.entries())
+		s.quota.SetEntries(time.Now(), s.sharers())
 	}
 }
 
--- a/entry/site/record.go
+++ b/entry/site/record.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"papayaport.dev/serving/process/clock"
+	"papayaport.dev/serving/process/departure"
 	"papayaport.dev/serving/process/platform"
 	"papayaport.dev/serving/process/platform/store"
 	"papayaport.dev/serving/process/usage"
@@ -43,6 +44,8 @@
 
 	// instance is the name that the record is kept under.
 	instance string
+	// revision is that of the key.
+	revision uint64
 }
 
 // recordKeeper is the state of this instance's record.
@@ -50,6 +53,8 @@
 	loaded bool
 	dirty  bool
 	usage  map[int64]usage.Counts
+	// writtenAt is when the last write that was accepted was sent, by clock.Boot.
+	writtenAt time.Time
 }
 
 // runRecord keeps this instance's record in the store, and finds the others.
@@ -61,7 +66,7 @@
 		for _, window := range s.usage.Ended(s.calendar.Now()) {
 			s.addWindow(window)
 		}
-		if s.record.loaded && s.record.dirty {
+		if s.record.loaded && (s.record.dirty || clock.Boot().Sub(s.record.writtenAt) >= departure.RefreshPeriod) {
 			s.writeRecord(ctx)
 		}
 	})
@@ -130,11 +135,13 @@
 		s.part("record").WithError(err).Error("record: not encoded")
 		return
 	}
+	sentAt := clock.Boot()
 	if _, err := s.platform.Store.Put(ctx, entriesPrefix+s.set.Instance, value, store.AnyRevision); err != nil {
 		s.part("record").WithError(err).Warn("record: not written, tried again")
 		return
 	}
-	s.record.dirty = false
+	s.record.dirty, s.record.writtenAt = false, sentAt
+	s.own.Wrote(sentAt)
 }
 
 // setEntries takes in the records of all entry instances and tells the membership of them.
@@ -150,7 +157,7 @@
 			s.part("record").WithError(err).WithField("key", entry.Key).Warn("record: unreadable, left out")
 			continue
 		}
-		r.instance = entry.Key[len(entriesPrefix):]
+		r.instance, r.revision = entry.Key[len(entriesPrefix):], entry.Revision
 		records = append(records, r)
 		instances = append(instances, platform.Instance{
 			ID: r.instance, Incarnation: r.Incarnation, Role: platform.EntryRole, Region: r.Region,
--- a/entry/site/roll.go
+++ b/entry/site/roll.go
@@ -45,6 +45,12 @@
 	at time.Time
 }
 
+func (r *rolls) forget(instance string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.heard, instance)
+}
+
 func (s *Site) ownRoll(now time.Time) roll {
 	return roll{
 		Instance: s.set.Instance, Incarnation: s.incarnation(), InFlight: s.inFlight(),
--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -29,6 +29,7 @@
 	"papayaport.dev/serving/connection/peer"
 	"papayaport.dev/serving/connection/upstream"
 	"papayaport.dev/serving/process/clock"
+	"papayaport.dev/serving/process/departure"
 	"papayaport.dev/serving/process/directory"
 	"papayaport.dev/serving/process/exchange"
 	"papayaport.dev/serving/process/lease"
@@ -49,6 +50,8 @@
 	Get(ctx context.Context, key string) (platform.Entry, error)
 	List(ctx context.Context, prefix string) (platform.Entries, error)
 	Put(ctx context.Context, key string, value []byte, ifRevision uint64) (platform.Entry, error)
+	// Remove removes a key that has a revision.
+	Remove(ctx context.Context, key string, ifRevision uint64) error
 }
 
 // View is what the platform's store holds at a moment.
@@ -141,8 +144,10 @@
 	// fleetKnown is set once backend servers were listed.
 	fleetKnown atomic.Bool
 	record     recordKeeper
-	planner    *sizing.Planner
-	contacts   contacts
+	// own tells whether this instance has a part of what the fleet shares.
+	own      *departure.Own
+	planner  *sizing.Planner
+	contacts contacts
 	// view is the last view of the store, read here or by a peer.
 	view atomic.Pointer[heldView]
 	// rolls holds what the other instances told of their load, and told their counts; both
@@ -181,6 +186,7 @@
 	s.pool = upstream.New(upstream.Options{DialTimeout: dialTimeout, EchoHeader: p.EchoHeader, Dialled: dialled.Inc})
 	s.usage, s.told = usage.New(seconds(set.Usage.WindowS)), usage.NewHeard()
 	s.calendar = clock.NewCalendar(s.started, clock.Boot())
+	s.own = departure.NewOwn(clock.Boot())
 	s.members = membership.New(s.self(), set.SeedPeers, seeded(), membership.DefaultBudget)
 	s.peers = peer.New(peer.DefaultOptions())
 	s.exchange = exchange.New(exchange.Parts{
@@ -258,7 +264,7 @@
 		}
 		s.pool.Tick(now, func(id string) bool { return listed[id] })
 		s.admission.Tick(now)
-		s.budget.SetEntries(s.entries())
+		s.budget.SetEntries(s.sharers())
 		s.closeOverdue(now)
 	})
 }
@@ -272,6 +278,18 @@
 	return max(listed, len(s.members.Live(time.Now()))+1)
 }
 
+// withoutPart is the number of entry instances that one without a part counts: what it has
+// of anything that is shared is next to nothing.
+const withoutPart = 1 << 20
+
+// sharers returns the number of entry instances that share what the fleet has.
+func (s *Site) sharers() int {
+	if !s.own.HasPart(clock.Boot()) {
+		return withoutPart
+	}
+	return s.entries()
+}
+
 func (s *Site) backends() []directory.Server {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- /dev/null
+++ b/serving/process/departure/departure_test.go
@@ -0,0 +1,159 @@
+package departure_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"papayaport.dev/serving/process/departure"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+// TestWatch follows one record.
+func TestWatch(t *testing.T) {
+	type look struct {
+		at       time.Duration
+		revision uint64
+		live     bool
+		gone     bool
+	}
+	for name, looks := range map[string][]look{
+		"written again": {{at: 0, revision: 1}, {at: 9 * time.Second, revision: 2}},
+		"silent":        {{at: 0, revision: 1}, {at: 59 * time.Second, revision: 1}, {at: 60 * time.Second, revision: 1, gone: true}},
+		"written late":  {{at: 0, revision: 1}, {at: 55 * time.Second, revision: 2}, {at: 70 * time.Second, revision: 2}},
+		"heard by peers": {
+			{at: 0, revision: 1}, {at: 50 * time.Second, revision: 1, live: true}, {at: 100 * time.Second, revision: 1}, {at: 110 * time.Second, revision: 1, gone: true},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var watch departure.Watch
+			next := 0
+			for at := time.Duration(0); next < len(looks); at += time.Second {
+				// Other looks show what the last one did.
+				l := looks[max(next-1, 0)]
+				due := at == looks[next].at
+				if due {
+					l = looks[next]
+					next++
+				}
+				gone := watch.Look(start.Add(at), []departure.Record{{Instance: "e", Revision: l.revision, Live: due && l.live}})
+				if due {
+					require.Equal(t, l.gone, len(gone) == 1, "at %s", at)
+				}
+			}
+		})
+	}
+	t.Run("an outage of the store", func(t *testing.T) {
+		var watch departure.Watch
+		records := []departure.Record{{Instance: "e", Revision: 1}}
+		require.Empty(t, watch.Look(start, records))
+		require.Empty(t, watch.Look(start.Add(2*time.Minute), records), "nothing was seen meanwhile")
+		require.Empty(t, watch.Look(start.Add(2*time.Minute+5*time.Second), records))
+	})
+}
+
+// TestOwn follows an instance's own part.
+func TestOwn(t *testing.T) {
+	own := departure.NewOwn(start)
+	at := func(s int) time.Time { return start.Add(time.Duration(s) * time.Second) }
+	require.True(t, own.HasPart(at(0)))
+	own.Wrote(at(5))
+	require.True(t, own.HasPart(at(45)))
+	require.False(t, own.HasPart(at(46)), "not written for too long")
+	own.Wrote(at(50))
+	own.Wrote(at(75))
+	require.False(t, own.HasPart(at(99)), "others may not know yet")
+	require.True(t, own.HasPart(at(100)))
+	own.Wrote(at(105))
+	require.True(t, own.HasPart(at(105)))
+}
+
+// TestPartsOfAFleetUnderFaults guards against a shared limit that is counted more than once:
+// instances are cut off from the store for any time, frozen, and gone for good, and the
+// instance that watches changes. What all of them take for their parts adds up to the whole
+// at most, but for the seconds in which an instance that started has not been seen.
+func TestPartsOfAFleetUnderFaults(t *testing.T) {
+	const (
+		instances = 24
+		step      = 500 * time.Millisecond
+		transfer  = 5 * time.Second // the time in which records reach everybody
+	)
+	type entry struct {
+		own             *departure.Own
+		cutUntil        time.Duration
+		frozenUntil     time.Duration
+		gone            bool
+		wroteAt, seenAt time.Duration
+		counted         int
+		watch           departure.Watch
+	}
+	removed, lapsed := 0, 0
+	for seed := range uint64(20) {
+		random := rand.New(rand.NewPCG(seed, 19))
+		records := map[string]uint64{}
+		revision := uint64(0)
+		all := make([]*entry, instances)
+		for i := range all {
+			all[i] = &entry{own: departure.NewOwn(start), counted: instances, wroteAt: -time.Hour}
+		}
+		for at := time.Duration(0); at < 10*time.Minute; at += step {
+			now := start.Add(at)
+			if random.IntN(60) == 0 { // a failure domain or one instance, cut or frozen
+				first, count := random.IntN(instances), 1+random.IntN(2)*5
+				until := at + time.Duration(random.IntN(150))*time.Second
+				frozen := random.IntN(3) == 0
+				for i := range count {
+					e := all[(first+i)%instances]
+					if frozen {
+						e.frozenUntil = until
+					} else {
+						e.cutUntil = until
+					}
+				}
+			}
+			if random.IntN(400) == 0 {
+				all[random.IntN(instances)].gone = true
+			}
+			watcher := int(at/(150*time.Second)) % instances
+			sum := 0.0
+			for i, e := range all {
+				name := fmt.Sprint(i)
+				reaches := !e.gone && at >= e.cutUntil && at >= e.frozenUntil
+				if reaches && at-e.wroteAt >= departure.RefreshPeriod {
+					revision++
+					records[name] = revision
+					e.own.Wrote(now)
+					e.wroteAt = at
+				}
+				if reaches && at-e.seenAt >= transfer {
+					e.seenAt, e.counted = at, len(records)
+				}
+				if reaches && i == watcher {
+					var list []departure.Record
+					for instance, rev := range records {
+						list = append(list, departure.Record{Instance: instance, Revision: rev})
+					}
+					for _, gone := range e.watch.Look(now, list) {
+						delete(records, gone.Instance)
+						removed++
+					}
+				}
+				if e.gone || at < e.frozenUntil {
+					continue
+				}
+				if e.own.HasPart(now) {
+					sum += 1 / float64(max(e.counted, 1))
+				} else {
+					lapsed++
+				}
+			}
+			require.LessOrEqual(t, sum, 1.0+1e-9, "seed %d at %s", seed, at)
+		}
+	}
+	require.Positive(t, removed)
+	require.Positive(t, lapsed)
+}
--- a/serving/process/usage/heard.go
+++ b/serving/process/usage/heard.go
@@ -1,6 +1,9 @@
 package usage
 
-import "sync"
+import (
+	"maps"
+	"sync"
+)
 
 // Heard holds what processes of entry instances told of their counts while they lived. It
 // stands in for what an instance did not get to write: one that was cut off from the
@@ -37,6 +40,21 @@
 		kept[number] = counts
 	}
 	lives[incarnation] = kept
+	maps.DeleteFunc(lives, func(_ uint64, windows map[int64]Counts) bool {
+		for number := range windows {
+			if number > newest-Kept {
+				return false
+			}
+		}
+		return newest > 0
+	})
+}
+
+// Forget drops what an instance told that is gone for good.
+func (h *Heard) Forget(instance string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.told, instance)
 }
 
 // Counts returns the counts of an instance in a window: what it wrote, or what its
--- a/serving/process/usage/usage_test.go
+++ b/serving/process/usage/usage_test.go
@@ -87,3 +87,18 @@
 	c.Ended(at.Add(22 * time.Second))
 	require.Equal(t, map[int64]usage.Counts{number + 20: {"a": 1}}, c.Told())
 }
+
+// TestHeardOverManyLives guards against a table that grows with each start of a process.
+func TestHeardOverManyLives(t *testing.T) {
+	heard := usage.NewHeard()
+	for life := range uint64(100) {
+		heard.Tell("entry-1", life, map[int64]usage.Counts{int64(life): {"a": 1}})
+	}
+	lives := 0
+	for number := range int64(100) {
+		lives += heard.Counts("entry-1", number, nil)["a"]
+	}
+	require.Equal(t, usage.Kept, lives)
+	heard.Forget("entry-1")
+	require.Empty(t, heard.Instances())
+}
