--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -205,7 +205,8 @@
 	if r.Draining() {
 		w.Header().Set("Connection", "close")
 	}
-	run := &run{relay: r, received: time.Now()}
+	now := time.Now()
+	run := &run{relay: r, received: now, progress: now}
 	defer run.log()
 	if err := r.receive(w, request, run); err != nil {
 		run.refuse(w, problem.From(err))
--- a/entry/relay/run.go
+++ b/entry/relay/run.go
@@ -71,6 +71,8 @@
 	backend   string
 	firstByte time.Duration
 	events    int
+	// progress is when the last event of a stream arrived, or when the request did.
+	progress time.Time
 }
 
 // match finds the route, the client account and the service of a request.
@@ -379,6 +381,7 @@
 	}
 	if r.kind != "" {
 		fields["kind"], fields["detail"], fields["may_have_run"] = r.kind, r.detail, r.mayHaveRun
+		fields["quiet_ms"] = time.Since(r.progress).Milliseconds()
 		r.relay.Log.WithFields(fields).Warn("relay: request not served")
 		return
 	}
--- a/entry/relay/stream.go
+++ b/entry/relay/stream.go
@@ -123,6 +123,7 @@
 			return errors.Wrap(err, "read event")
 		}
 		now := time.Now()
+		r.progress = now
 		if first {
 			r.began()
 			r.relay.Routes.FirstToken(now, a.id, 0)
