Test that idle pools hold one burst together, and that earnings are capped

Two mutations passed the tests of quota: a pool whose size does not follow its share, and earnings without a cap. Each test fails with one of them.

--- /dev/null
+++ b/serving/request/quota/pool_test.go
@@ -0,0 +1,69 @@
+package quota_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"papayaport.dev/serving/request/quota"
+)
+
+// spendAll asks for small requests until one is refused, and returns what was granted.
+func spendAll(t *testing.T, table *quota.Table, now time.Time) float64 {
+	const cost = 100.0
+	granted := 0.0
+	for {
+		decision, known := table.Ask(now, account, quota.Amount{Requests: 1, Tokens: cost})
+		require.True(t, known)
+		if !decision.Granted {
+			return granted
+		}
+		granted += cost
+	}
+}
+
+// TestIdlePoolsHoldOneBurstTogether guards against an account that has been quiet and gets
+// its burst once from each pool: half of the instances pay into one and half into another.
+func TestIdlePoolsHoldOneBurstTogether(t *testing.T) {
+	const rate, burst, entries = 100_000.0, 150_000.0, 60
+	now := start
+	var pools [2]*quota.Table
+	var instances [entries]*quota.Table
+	table := func() *quota.Table {
+		made := quota.New()
+		made.SetEntries(now, entries)
+		made.SetLimits(now, 1, []quota.Limit{{Account: account, PerSecond: quota.Amount{Tokens: rate}, Burst: quota.Amount{Tokens: burst}}})
+		return made
+	}
+	for i := range pools {
+		pools[i] = table()
+	}
+	for i := range instances {
+		instances[i] = table()
+	}
+	for now.Before(start.Add(30 * time.Second)) {
+		now = now.Add(quota.PayPeriod(entries))
+		for i, instance := range instances {
+			pools[i%2].Pay(now, account, instance.Earned(now, account))
+		}
+	}
+	granted := spendAll(t, pools[0], now) + spendAll(t, pools[1], now)
+	require.LessOrEqual(t, granted, burst)
+	require.Greater(t, granted, burst/2)
+}
+
+// TestEarningsOfAFrozenInstance guards against an instance that was frozen or cut off and
+// pays minutes of a limit at once.
+func TestEarningsOfAFrozenInstance(t *testing.T) {
+	const rate, entries = 100_000.0, 60
+	table := quota.New()
+	table.SetEntries(start, entries)
+	table.SetLimits(start, 1, []quota.Limit{{Account: account, PerSecond: quota.Amount{Tokens: rate}}})
+	period := quota.PayPeriod(entries)
+	part := rate / entries
+	require.InEpsilon(t, part*period.Seconds(), table.Earned(start.Add(period), account).Tokens, 0.01)
+	late := table.Earned(start.Add(5*time.Minute), account).Tokens
+	require.LessOrEqual(t, late, 2*part*period.Seconds())
+	require.GreaterOrEqual(t, late, part*period.Seconds())
+}
