--- a/entry/relay/prompt.go
+++ b/entry/relay/prompt.go
@@ -29,14 +29,6 @@
 	return chain
 }
 
-// ownTokens returns the tokens of the part that no other request shares.
-func (p *Prompt) ownTokens() int {
-	if p == nil || len(p.Parts) == 0 {
-		return 0
-	}
-	return p.Parts[len(p.Parts)-1].Tokens
-}
-
 // report takes in the load that a backend server told with an answer.
 func (r *Relay) report(now time.Time, b route.Backend, load Load) {
 	r.Routes.Report(now, b.ID, engine.Load{
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -135,12 +135,6 @@
 	Admitted(at time.Time, service string, tokens int)
 }
 
-// Pace measures how fast prompts are read.
-type Pace interface {
-	// Read takes in the tokens of a prompt's own part and the time to its first token.
-	Read(service string, ownTokens int, took time.Duration)
-}
-
 // Limiter keeps the limits of client accounts over all entry instances.
 type Limiter interface {
 	// Admit charges a request to its account, or returns a *problem.Error. It tells who
@@ -154,7 +148,6 @@
 	Routes   *route.Table
 	Limiter  Limiter
 	Intake   Intake
-	Pace     Pace
 	Budget   *budget.Table
 	Pool     *upstream.Pool
 	Usage    Usage
--- a/entry/relay/run.go
+++ b/entry/relay/run.go
@@ -186,7 +186,6 @@
 type attempt struct {
 	id       string
 	choice   route.Choice
-	sentAt   time.Time
 	response *upstream.Response
 	answer   Answer
 	cancel   context.CancelCauseFunc
@@ -201,9 +200,9 @@
 		return nil, err
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
-	a := &attempt{id: relay.attemptID(r.call), choice: choice, sentAt: time.Now(), cancel: cancel}
+	a := &attempt{id: relay.attemptID(r.call), choice: choice, cancel: cancel}
 	r.backend = choice.Backend.ID
-	relay.Routes.Sent(a.sentAt, a.id, choice, request)
+	relay.Routes.Sent(time.Now(), a.id, choice, request)
 	silence := r.watchSilence(cancel, r.attempts+1)
 	silence.Reset(r.silence(choice))
 	defer silence.Stop()
--- a/entry/relay/stream.go
+++ b/entry/relay/stream.go
@@ -127,9 +127,6 @@
 		if first {
 			r.began()
 			r.relay.Routes.FirstToken(now, a.id, 0)
-			if r.attempts == 1 && r.call.LastEvent == "" {
-				r.relay.Pace.Read(r.service, r.call.Prompt.ownTokens(), now.Sub(a.sentAt))
-			}
 		} else {
 			r.relay.Routes.Token(now, a.id)
 		}
--- a/entry/site/orders.go
+++ b/entry/site/orders.go
@@ -39,8 +39,7 @@
 	log := s.part("duties").WithFields(logrus.Fields{
 		"service": order.Service, "failure_domain": order.FailureDomain, "reclaimable": order.Reclaimable,
 		"count": order.Count, "in_flight": in.InFlight, "prefill_per_second": int(in.PrefillPerSecond),
-		"read_per_second": int(in.ReadPerSecond),
-		"live":            in.Live[order.FailureDomain], "fencing": fencing,
+		"live": in.Live[order.FailureDomain], "fencing": fencing,
 	})
 	if err != nil {
 		log.WithError(err).Warn("duties: order refused")
@@ -69,7 +68,7 @@
 		in.Live[server.FailureDomain] = count
 	}
 	inFlight, tokens := s.load(now, svc.Name)
-	in.InFlight, in.PrefillPerSecond, in.ReadPerSecond = inFlight, uncachedShare*tokens, s.readPerSecond(svc.Name)
+	in.InFlight, in.PrefillPerSecond = inFlight, uncachedShare*tokens
 	return in
 }
 
--- a/entry/site/roll.go
+++ b/entry/site/roll.go
@@ -8,7 +8,6 @@
 	"golang.org/x/sync/errgroup"
 
 	"papayaport.dev/serving/process/clock"
-	"papayaport.dev/serving/process/sizing"
 	"papayaport.dev/serving/process/usage"
 )
 
@@ -32,8 +31,6 @@
 	InFlight        map[string]int         `cbor:"3,keyasint,omitempty"`
 	TokensPerSecond map[string]float64     `cbor:"4,keyasint,omitempty"`
 	Usage           map[int64]usage.Counts `cbor:"5,keyasint,omitempty"`
-	// Pace is how fast this instance saw the engines of each service read.
-	Pace map[string]sizing.Reading `cbor:"6,keyasint,omitempty"`
 }
 
 // rolls holds the last word of each entry instance, by its name.
@@ -57,7 +54,7 @@
 func (s *Site) ownRoll(now time.Time) roll {
 	return roll{
 		Instance: s.set.Instance, Incarnation: s.incarnation(), InFlight: s.inFlight(),
-		TokensPerSecond: s.intake.PerSecond(now), Usage: s.usage.Told(), Pace: s.pace.Measured(),
+		TokensPerSecond: s.intake.PerSecond(now), Usage: s.usage.Told(),
 	}
 }
 
@@ -131,20 +128,6 @@
 	s.rolls.heard[told.Instance] = heardRoll{told, now}
 }
 
-// readPerSecond returns how fast all instances saw the engines of a service read, 0 while
-// too few prompts tell.
-func (s *Site) readPerSecond(service string) float64 {
-	s.rolls.mu.Lock()
-	defer s.rolls.mu.Unlock()
-	var readings []sizing.Reading
-	for _, heard := range s.rolls.heard {
-		if reading, found := heard.Pace[service]; found {
-			readings = append(readings, reading)
-		}
-	}
-	return sizing.FleetPace(readings)
-}
-
 // load adds up the load of a service over all entry instances: requests at its servers,
 // and the tokens a second that are taken in. Records stand in for instances
 // that were not heard of late.
--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -155,7 +155,6 @@
 	rolls     rolls
 	told      *usage.Heard
 	intake    *sizing.Intake
-	pace      *sizing.Pace
 	debts     debtors
 	unreached unreached
 	// poolOrders holds the pools of each client account in the order in which they are asked,
@@ -170,7 +169,7 @@
 
 // New joins the parts of an entry instance. Nothing runs yet.
 func New(set Settings, p Platform, log *logrus.Logger, lines Lines) (*Site, error) {
-	s := &Site{set: set, platform: p, log: log, lines: lines, started: time.Now(), meters: metrics.NewSet(), listed: 1, planner: sizing.New(), intake: sizing.NewIntake(), pace: sizing.NewPace()}
+	s := &Site{set: set, platform: p, log: log, lines: lines, started: time.Now(), meters: metrics.NewSet(), listed: 1, planner: sizing.New(), intake: sizing.NewIntake()}
 	random := rand.New(rand.NewPCG(uint64(s.started.UnixNano()), 1))
 	seeded := func() *rand.Rand { return rand.New(rand.NewPCG(random.Uint64(), random.Uint64())) }
 	var err error
@@ -196,7 +195,7 @@
 	s.leases = lease.New(lapsing{p.Store}, set.Instance+"/"+formatIncarnation(s.incarnation()), s.wantedLeases, s.leaseRank,
 		s.leaseTTL(), clock.Boot, seeded())
 	s.relay = relay.New(relay.Parts{
-		Versions: &s.keeper, Routes: s.routes, Limiter: s, Intake: s.intake, Pace: s.pace, Budget: s.budget, Pool: s.pool, Usage: s,
+		Versions: &s.keeper, Routes: s.routes, Limiter: s, Intake: s.intake, Budget: s.budget, Pool: s.pool, Usage: s,
 		Codec: p.Codec, Meters: relay.NewMeters(s.meters), Entries: s.entries, Draw: rand.Float64, Log: s.part("relay"),
 	})
 	s.overdue = s.meters.NewCounter("papayaport_caller_connections_overdue_total")
--- a/serving/process/sizing/sizing.go
+++ b/serving/process/sizing/sizing.go
@@ -33,12 +33,10 @@
 	// slotShare is the share of an engine's slots that are in use when the latency of
 	// tokens is still well within the targets of interactive use.
 	slotShare = 0.3
-	// readShare is the share of what an engine can read that it should, so that a long prompt
-	// seldom waits for another.
-	readShare = 0.18
-	// usualPace is the number of prompt tokens that an engine reads in a second, as callers
-	// see it, while it has not been measured: that of the first deployments.
-	usualPace = 50_000
+	// prefillPerServer is the number of uncached prompt tokens that an engine should read
+	// in a second, a sixth of what the engines of today's deployments can, so that a long
+	// prompt seldom waits for another.
+	prefillPerServer = 9_000
 	// shrinkAfter is how long the load must stay below before a part of the servers is
 	// given up, and shrinkShare what is kept of them at each step: what a large fleet tells
 	// of its load comes late, and a burst of users seldom comes alone.
@@ -87,9 +85,6 @@
 	InFlight int
 	// PrefillPerSecond is the number of prompt tokens a second that were not cached.
 	PrefillPerSecond float64
-	// ReadPerSecond is the number of prompt tokens that an engine was seen to read in a second,
-	// 0 while that is not known.
-	ReadPerSecond float64
 }
 
 // Order sets the number of servers of one kind in a failure domain.
@@ -139,11 +134,7 @@
 func Need(in Input) int {
 	slots := slotShare * float64(max(in.Service.Engine.Slots, 1))
 	bySlots := math.Ceil(float64(in.InFlight) / slots)
-	pace := in.ReadPerSecond
-	if pace == 0 {
-		pace = usualPace
-	}
-	byPrefill := math.Ceil(in.PrefillPerSecond / (readShare * pace))
+	byPrefill := math.Ceil(in.PrefillPerSecond / prefillPerServer)
 	if byPrefill > 0 {
 		bySlots = min(bySlots, math.Ceil(backlogFactor*byPrefill))
 	}
