Ask pools behind their first payments; pass over instances that never answered

And 199 payments and questions went to an instance that was gone for good and still listed, 200 ms each, as new processes had never heard of it.

Change: a process pays each 0.1 s in its first two seconds, not held up by a pool that does not answer; requests wait for its first payments and those of others, half a second behind the start at most; a listed instance that gave no sign of life and did not answer is no candidate for pools or readers.

TestPoolsOfGoneInstances failed before.

--- a/entry/site/pools.go
+++ b/entry/site/pools.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -20,9 +21,13 @@
 	// poolTimeout bounds the call to another instance's pool; peers of a region answer in a
 	// few milliseconds.
 	poolTimeout = 200 * time.Millisecond
-	// firstPayment is the time to the first payment of a process: pools of a fleet that starts
-	// are empty, and their instances start with it.
-	firstPayment = 100 * time.Millisecond
+	// startPeriod is the time to the first payment of a process and between those that follow
+	// within startTime: pools of a fleet that starts together are empty.
+	startPeriod = 100 * time.Millisecond
+	startTime   = 2 * time.Second
+	// longestFill bounds how long requests wait at the start of a process for the first
+	// payments into pools: before, a fleet that starts together would be refused what it has.
+	longestFill = 500 * time.Millisecond
 	// unknownLimitRetry is when a request may come back whose account has no limit known
 	// here yet: the configuration is being put into force.
 	unknownLimitRetry = 100 * time.Millisecond
@@ -94,7 +99,7 @@
 	}
 	for _, status := range s.members.Members(now) {
 		lapsed := !status.Live && !status.Heard.IsZero()
-		if !lapsed && !status.Draining && !status.Leaving {
+		if !lapsed && !status.Absent && !status.Draining && !status.Leaving {
 			candidates = append(candidates, status.Member)
 		}
 	}
@@ -131,7 +136,10 @@
 // runPay pays what this instance earned of the limits of client accounts into the pools that
 // it asks.
 func (s *Site) runPay(ctx context.Context) error {
-	wait := firstPayment
+	wait := startPeriod
+	var filling sync.Once
+	var payments errgroup.Group
+	defer func() { _ = payments.Wait() }() // payments return no error
 	for {
 		if err := clock.Sleep(ctx, wait); err != nil {
 			return err
@@ -140,10 +148,20 @@
 			continue // nobody to pay is known yet
 		}
 		entries := s.entries()
+		filling.Do(func() {
+			// Those who start at the same time pay within another period.
+			time.AfterFunc(startPeriod, func() { close(s.filled) })
+		})
 		if entries >= s.set.Quota.PooledFrom {
-			s.payPools(ctx)
+			// A pool that does not answer must not hold the next payment up.
+			payments.Go(func() error {
+				s.payPools(ctx)
+				return nil
+			})
+		}
+		if time.Since(s.started) > startTime {
+			wait = quota.PayPeriod(entries)
 		}
-		wait = quota.PayPeriod(entries)
 	}
 }
 
@@ -195,6 +213,7 @@
 // have arrived, so that it is not paid again.
 func (s *Site) poolLost(err error, address, account string) {
 	s.unreached.note(address)
+	s.members.Unanswered(time.Now(), address)
 	s.poolsLost.Inc()
 	s.part("limits").WithError(err).WithFields(logrus.Fields{"account": account, "peer": address}).
 		Warn("limits: pool did not answer")
@@ -202,6 +221,9 @@
 
 // askPools asks the pools of an account in their order and returns the one that decided.
 func (s *Site) askPools(ctx context.Context, account string, cost quota.Amount) (decidedBy string, err error) {
+	if err := s.awaitFill(ctx); err != nil {
+		return "", err
+	}
 	for _, holder := range s.pools(account) {
 		ask := grantQuery{Account: account, Cost: cost, Paid: s.quota.Earned(time.Now(), account)}
 		if holder.PeerAddress == s.set.AdvertisedPeers {
@@ -222,6 +244,23 @@
 	return "", reply{}.refusal() // not reached: the last pool is this instance's own
 }
 
+// awaitFill waits for the first payments into pools at the start of a process.
+func (s *Site) awaitFill(ctx context.Context) error {
+	left := longestFill - time.Since(s.started)
+	if left <= 0 {
+		return nil
+	}
+	timer := time.NewTimer(left)
+	defer timer.Stop()
+	select {
+	case <-s.filled:
+	case <-timer.C:
+	case <-ctx.Done():
+		return problem.New(problem.CallerGone, "%v", context.Cause(ctx))
+	}
+	return nil
+}
+
 // grant decides on a request out of the pool that this instance holds.
 func (s *Site) grant(ask grantQuery) reply {
 	now := time.Now()
--- a/entry/site/pools_test.go
+++ b/entry/site/pools_test.go
@@ -1,11 +1,14 @@
 package site
 
 import (
+	"context"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"papayaport.dev/serving/process/membership"
+	"papayaport.dev/serving/process/platform"
 )
 
 // TestPoolOrder guards against an account whose pools are all lost with one failure domain,
@@ -64,3 +67,26 @@
 	}
 	require.GreaterOrEqual(t, len(first), 4)
 }
+
+// TestPoolsOfGoneInstances guards against payments and questions to an instance that is gone
+// for good and whose record is still listed, at a process that never heard of it.
+func TestPoolsOfGoneInstances(t *testing.T) {
+	s := newTestSite(t)
+	s.setEntries([]platform.Entry{
+		{Key: entriesPrefix + "gone", Value: []byte(`{"incarnation": 1, "peer_address": "10.0.0.1:1", "memory_mb": 900}`)},
+		{Key: entriesPrefix + "slow", Value: []byte(`{"incarnation": 1, "peer_address": "10.0.0.2:1", "memory_mb": 800}`)},
+	})
+	s.members.Receive(time.Now(), membership.Message{From: membership.Member{Instance: "slow", Incarnation: 1, PeerAddress: "10.0.0.2:1", MemoryMB: 800}})
+	names := func() []string {
+		var names []string
+		for _, candidate := range s.poolCandidates(time.Now()) {
+			names = append(names, candidate.Instance)
+		}
+		return names
+	}
+	require.ElementsMatch(t, []string{s.set.Instance, "gone", "slow"}, names(), "neither was tried")
+	for _, address := range []string{"10.0.0.1:1", "10.0.0.2:1"} {
+		s.poolLost(context.DeadlineExceeded, address, "")
+	}
+	require.ElementsMatch(t, []string{s.set.Instance, "slow"}, names())
+}
--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -160,7 +160,9 @@
 	// poolOrders holds the pools of each client account in the order in which they are asked,
 	// as of the last payment.
 	poolOrders atomic.Pointer[map[string][]membership.Member]
-	callers    callers
+	// filled is closed when pools had their first payments from this process.
+	filled  chan struct{}
+	callers callers
 	// overdue counts callers' connections that were closed over a limit, and poolsLost the
 	// calls to another instance's pool that were not answered.
 	overdue, poolsLost *metrics.Counter
@@ -169,7 +171,7 @@
 
 // New joins the parts of an entry instance. Nothing runs yet.
 func New(set Settings, p Platform, log *logrus.Logger, lines Lines) (*Site, error) {
-	s := &Site{set: set, platform: p, log: log, lines: lines, started: time.Now(), meters: metrics.NewSet(), listed: 1, planner: sizing.New(), intake: sizing.NewIntake()}
+	s := &Site{set: set, platform: p, log: log, lines: lines, started: time.Now(), meters: metrics.NewSet(), listed: 1, planner: sizing.New(), intake: sizing.NewIntake(), filled: make(chan struct{})}
 	random := rand.New(rand.NewPCG(uint64(s.started.UnixNano()), 1))
 	seeded := func() *rand.Rand { return rand.New(rand.NewPCG(random.Uint64(), random.Uint64())) }
 	var err error
--- a/entry/site/views.go
+++ b/entry/site/views.go
@@ -200,6 +200,7 @@
 		cancel()
 		if err != nil {
 			s.unreached.note(reader.PeerAddress)
+			s.members.Unanswered(time.Now(), reader.PeerAddress)
 			s.part("directory").WithError(err).WithField("peer", reader.Instance).Warn("directory: reader did not answer")
 			continue
 		}
--- a/serving/process/membership/members.go
+++ b/serving/process/membership/members.go
@@ -14,6 +14,8 @@
 	Leaving  bool
 	// Heard is the last sign of life, direct or through others; zero when there was none.
 	Heard time.Time
+	// Absent tells that there was none and that a call was not answered.
+	Absent bool
 }
 
 // beatStride is the advance of a heartbeat count that is worth passing on, in seconds.
@@ -188,6 +190,7 @@
 			Draining: m.draining,
 			Leaving:  t.leaving[m.name] != nil,
 			Heard:    m.heard,
+			Absent:   m.heard.IsZero() && !m.failed.IsZero(),
 		})
 	}
 	return all
--- a/serving/process/membership/table.go
+++ b/serving/process/membership/table.go
@@ -245,6 +245,18 @@
 	}
 }
 
+// Unanswered tells that the peer at address did not answer in time. It counts against one
+// that gave no sign of life yet; others may only be slow.
+func (t *Table) Unanswered(now time.Time, address string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, m := range t.members {
+		if m.PeerAddress == address && m.heard.IsZero() {
+			m.failed = now
+		}
+	}
+}
+
 // Instances takes in the instance list of the platform.
 func (t *Table) Instances(now time.Time, list []platform.Instance) {
 	t.mu.Lock()
