Order servers before reports; earn nothing without a part

Found by reading the change: behind a change of the holder up to six windows are due, and each report takes a call of up to a second while the platform's API is slow; orders of servers waited behind them. And an instance without a part counted a million others for its pool as well, so that a caller was told to come back in 30 s. It earns nothing, as before the first view, and its pool keeps its usual terms.

--- a/entry/site/duties.go
+++ b/entry/site/duties.go
@@ -56,8 +56,9 @@
 			d = duty{fencing: fencing}
 			s.planner.Forget()
 		}
-		s.reportUsage(ctx, &d)
+		// Orders come first: several windows may be due, and each report takes a call.
 		s.orderServers(ctx, d.fencing)
+		s.reportUsage(ctx, &d)
 		s.removeGone(ctx, &d)
 	})
 }
--- a/entry/site/pools.go
+++ b/entry/site/pools.go
@@ -128,8 +128,11 @@
 	s.mu.Lock()
 	known := len(s.records) > 0
 	s.mu.Unlock()
-	if known {
-		s.quota.SetEntries(time.Now(), s.sharers())
+	switch {
+	case known && s.own.HasPart(clock.Boot()):
+		s.quota.SetEntries(time.Now(), s.entries())
+	case known:
+		s.quota.SetEntries(time.Now(), 0)
 	}
 }
 
--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -284,7 +284,8 @@
 // of anything that is shared is next to nothing.
 const withoutPart = 1 << 20
 
-// sharers returns the number of entry instances that share what the fleet has.
+// sharers returns the number of entry instances that share the budget of repeats and, in
+// parts, the limits.
 func (s *Site) sharers() int {
 	if !s.own.HasPart(clock.Boot()) {
 		return withoutPart
