Log what backend servers ask for in their answers, and fields that are not known

The hypotheses of docs/incidents/limit.md can't be told apart by the logs: no line says which answers named a limit. The line of a request now tells what the server that answered asked for (server_limit, server_closed_ms, server_leaving), and a field of an answer that the dialect does not know is logged once by its name. Nothing acts on either yet.

--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -29,6 +29,7 @@
 
 	"papayaport.dev/serving/connection/upstream"
 	"papayaport.dev/serving/process/problem"
+	"papayaport.dev/serving/request/backpressure"
 	"papayaport.dev/serving/request/budget"
 	"papayaport.dev/serving/request/route"
 	"papayaport.dev/serving/version/deployment"
@@ -115,6 +116,10 @@
 	RetryAfter time.Duration
 	// Load is nil when the server doesn't tell it.
 	Load *Load
+	// Asked is what the server asks for.
+	Asked backpressure.Asked
+	// Unknown names the fields of the head that the dialect doesn't know.
+	Unknown []string
 	// Header is what goes to the caller, hop-by-hop fields left out.
 	Header http.Header
 }
@@ -166,6 +171,7 @@
 	leaving  atomic.Pointer[leaving]
 	inFlight atomic.Int64
 	serial   atomic.Uint64
+	unknown  unknownFields
 }
 
 const (
--- a/entry/relay/run.go
+++ b/entry/relay/run.go
@@ -12,6 +12,7 @@
 
 	"papayaport.dev/serving/connection/upstream"
 	"papayaport.dev/serving/process/problem"
+	"papayaport.dev/serving/request/backpressure"
 	"papayaport.dev/serving/request/route"
 	"papayaport.dev/serving/version/deployment"
 	"papayaport.dev/serving/version/service"
@@ -64,6 +65,7 @@
 	reserved atomic.Bool
 
 	// What the log line tells besides.
+	asked     backpressure.Asked
 	status    int
 	limitedBy string
 	kind      problem.Kind
@@ -218,6 +220,8 @@
 		return nil, err
 	}
 	a.answer = relay.Codec.Answer(a.response.Status, a.response.Header)
+	r.asked = a.answer.Asked
+	relay.unknown.note(relay.Log, choice.Backend.ID, a.answer.Unknown)
 	r.noteAnswer(a)
 	return a, nil
 }
@@ -373,6 +377,15 @@
 	if r.limitedBy != "" {
 		fields["limited_by"] = r.limitedBy
 	}
+	if r.asked.Limited {
+		fields["server_limit"] = r.asked.PerSecond
+	}
+	if r.asked.Closed > 0 {
+		fields["server_closed_ms"] = r.asked.Closed.Milliseconds()
+	}
+	if r.asked.Leaving {
+		fields["server_leaving"] = true
+	}
 	if r.firstByte > 0 {
 		fields["first_ms"] = r.firstByte.Milliseconds()
 	}
