Reproduce LIMIT: a server that names a limit gets as much as before (red)

TestLimitNamedByAServer fails: eight entry instances send 59 requests in 4 s to a server that named 1 a second, where the users' pages allow 11.

--- a/standin/outside/server.go
+++ b/standin/outside/server.go
@@ -59,6 +59,17 @@
 	Advertise func(listening string) (string, error)
 }
 
+// Wishes are header fields in which a server asks for something, as they are sent with each
+// answer; empty ones are left out.
+type Wishes struct {
+	// Limit is the number of requests a second that the server takes from all together.
+	Limit string
+	// Leaving is "1" when the server leaves.
+	Leaving string
+	// RetryAfter is sent with refusals only, in seconds.
+	RetryAfter string
+}
+
 // Run is one request that the server began to run.
 type Run struct {
 	ID     string
@@ -84,6 +95,7 @@
 	cancel  context.CancelFunc
 
 	mu          sync.Mutex
+	wishes      Wishes
 	wrong       Misbehaviour
 	times       int
 	active      int
@@ -154,6 +166,28 @@
 	b.wrong, b.times = wrong, times
 }
 
+// Wish sets what the server asks for from now on.
+func (b *Backend) Wish(wishes Wishes) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.wishes = wishes
+}
+
+// tell puts what the server asks for into the head of an answer.
+func (b *Backend) tell(header http.Header, refused bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	fields := map[string]string{"Server-Limit": b.wishes.Limit, "Server-Leaving": b.wishes.Leaving}
+	if refused {
+		fields["Retry-After"] = b.wishes.RetryAfter
+	}
+	for name, value := range fields {
+		if value != "" {
+			header.Set(name, value)
+		}
+	}
+}
+
 // Runs returns the requests that the server began to run.
 func (b *Backend) Runs() []Run {
 	b.mu.Lock()
@@ -255,10 +289,12 @@
 	run := Run{ID: id, At: now, Method: r.Method, Target: r.RequestURI, Header: r.Header.Clone(), Body: string(body)}
 	if wrong == Refuse || !b.begin(r.Context(), run) {
 		header.Set("X-Papayaport-Not-Executed", "1")
+		b.tell(header, true)
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	defer b.end()
+	b.tell(header, false)
 	header.Set("X-Papayaport-Instance-Load", b.load())
 	header.Set("X-Papayaport-Server-Seal", b.Seal(id))
 	if b.Events > 0 && wrong != Fail {
