Bound the heads, bodies and events of answers that never end

Change: a connection counts bytes and lines of a head as they arrive, 32 KB and 256 lines for each head; interim answers and answers to others count as heads of their own. Answers that are read whole and single events share an eighth of the memory beyond 64 KB each (package room). Past a bound the connection is reset, the server loses trust, and the request goes on elsewhere where it may repeat. papayaport_answers_past_a_bound_total counts them. Answers that net/http reads (engines, plain services, the platform) have heads of 32 KB at most.

--- a/entry/daemon/outside.go
+++ b/entry/daemon/outside.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"papayaport.dev/serving/connection/pool"
 	"papayaport.dev/serving/process/capacity"
 	"papayaport.dev/serving/process/lease"
 	"papayaport.dev/serving/process/platform"
@@ -55,7 +56,7 @@
 // Connect returns the platform behind the addresses of the settings, in the product's
 // own dialect.
 func Connect(set settings.Settings) Outside {
-	transport := &http.Transport{MaxIdleConnsPerHost: 8, IdleConnTimeout: 30 * time.Second}
+	transport := &http.Transport{MaxIdleConnsPerHost: 8, IdleConnTimeout: 30 * time.Second, MaxResponseHeaderBytes: pool.HeadBytes}
 	control := &http.Client{Transport: transport}
 	heard := contact.New(transport)
 	outside := Outside{
--- a/entry/relay/meters.go
+++ b/entry/relay/meters.go
@@ -5,6 +5,11 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/pkg/errors"
+
+	"papayaport.dev/serving/connection/event"
+	"papayaport.dev/serving/connection/room"
+	"papayaport.dev/serving/connection/upstream"
 )
 
 // Meters counts what happens to requests.
@@ -17,6 +22,17 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("papayaport_attempts_total{service=%q}", service)).Inc()
 }
 
+// noteEndless counts an answer that was given up because it passed a bound.
+func (m *Meters) noteEndless(service string, err error) {
+	for what, bound := range map[string]error{
+		"head": upstream.ErrEndless, "body": room.ErrTooLarge, "event": event.ErrTooLarge, "memory": room.ErrFull,
+	} {
+		if errors.Is(err, bound) {
+			m.set.GetOrCreateCounter(fmt.Sprintf("papayaport_answers_past_a_bound_total{service=%q,bound=%q}", service, what)).Inc()
+		}
+	}
+}
+
 // withheld counts a request that a server took no more when a connection to it was there.
 func (m *Meters) withheld(service string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("papayaport_withheld_total{service=%q}", service)).Inc()
--- a/entry/relay/plain.go
+++ b/entry/relay/plain.go
@@ -2,13 +2,14 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"papayaport.dev/serving/connection/event"
+	"papayaport.dev/serving/connection/room"
 	"papayaport.dev/serving/process/problem"
 	"papayaport.dev/serving/request/route"
 )
@@ -58,12 +59,10 @@
 	if err := r.refusal(a); err != nil {
 		return answer, nil, err
 	}
-	body, err := io.ReadAll(io.LimitReader(a.response.Body, maxAnswerBytes+1))
-	if err == nil && len(body) > maxAnswerBytes {
-		err = errors.Wrapf(errInvalid, "over %d bytes", maxAnswerBytes)
-	}
+	body, err := r.share.ReadAll(a.response.Body, maxAnswerBytes)
 	if err != nil {
-		r.settle(a, route.Failed)
+		r.settle(a, brokenResult(err))
+		r.relay.Meters.noteEndless(r.service, err)
 		r.excluded = append(r.excluded, a.choice.Backend.ID)
 		return answer, nil, errors.Wrap(err, "read answer")
 	}
@@ -76,6 +75,18 @@
 	return answer, body, nil
 }
 
+// brokenResult tells what an answer that could not be read to its end says of its server. One
+// that found no memory left says nothing.
+func brokenResult(err error) route.Result {
+	switch {
+	case errors.Is(err, room.ErrTooLarge), errors.Is(err, event.ErrTooLarge):
+		return route.Wrong
+	case errors.Is(err, room.ErrFull):
+		return route.Cancelled
+	}
+	return route.Failed
+}
+
 // refusal settles an attempt that was not run, or whose answer can't be a server's.
 func (r *run) refusal(a *attempt) error {
 	switch {
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -27,6 +27,7 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"papayaport.dev/serving/connection/room"
 	"papayaport.dev/serving/connection/upstream"
 	"papayaport.dev/serving/process/problem"
 	"papayaport.dev/serving/request/backpressure"
@@ -163,9 +164,11 @@
 	Servers  Servers
 	Budget   *budget.Table
 	Pool     *upstream.Pool
-	Usage    Usage
-	Codec    Codec
-	Meters   *Meters
+	// Room holds answers that are read whole, and the events of streams.
+	Room   *room.Room
+	Usage  Usage
+	Codec  Codec
+	Meters *Meters
 	// Entries returns the number of entry instances.
 	Entries func() int
 	// Draw returns random numbers in [0, 1).
@@ -220,7 +223,8 @@
 		w.Header().Set("Connection", "close")
 	}
 	now := time.Now()
-	run := &run{relay: r, received: now, progress: now}
+	run := &run{relay: r, received: now, progress: now, share: r.Room.Share()}
+	defer run.share.Close()
 	defer run.log()
 	if err := r.receive(w, request, run); err != nil {
 		run.refuse(w, problem.From(err))
--- a/entry/relay/run.go
+++ b/entry/relay/run.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"papayaport.dev/serving/connection/room"
 	"papayaport.dev/serving/connection/upstream"
 	"papayaport.dev/serving/process/problem"
 	"papayaport.dev/serving/request/backpressure"
@@ -62,6 +63,8 @@
 	attempts int
 	unsent   int
 	excluded []string
+	// share is the memory that the present answer takes.
+	share *room.Share
 	// mayHaveRun tells that an attempt was sent and not refused.
 	mayHaveRun bool
 	// begun tells that the request was counted as running.
@@ -279,9 +282,10 @@
 	case errors.Is(err, context.Canceled), errors.Is(err, errDeadline), errors.Is(err, upstream.ErrBusy),
 		errors.Is(err, upstream.ErrWithheld):
 		result = route.Cancelled
-	case errors.Is(err, upstream.ErrForeign):
+	case errors.Is(err, upstream.ErrForeign), errors.Is(err, upstream.ErrEndless):
 		result = route.Wrong
 	}
+	r.relay.Meters.noteEndless(r.service, err)
 	r.settle(a, result)
 	r.excluded = append(r.excluded, a.choice.Backend.ID)
 	if !sent {
--- a/entry/relay/stream.go
+++ b/entry/relay/stream.go
@@ -75,7 +75,8 @@
 	case errors.Is(err, errSilent):
 		result = route.Silent
 	case err != nil:
-		result = route.Failed
+		result = brokenResult(err)
+		r.relay.Meters.noteEndless(r.service, err)
 	}
 	if err != nil {
 		r.excluded = append(r.excluded, a.choice.Backend.ID)
@@ -86,9 +87,10 @@
 
 // streamFailure passes a server's failure on when the caller has nothing yet.
 func (r *run) streamFailure(a *attempt, out *stream) error {
-	body, err := io.ReadAll(io.LimitReader(a.response.Body, maxAnswerBytes))
+	body, err := r.share.ReadAll(a.response.Body, maxAnswerBytes)
 	status := a.response.Status
 	r.settle(a, route.Failed)
+	r.relay.Meters.noteEndless(r.service, err)
 	r.excluded = append(r.excluded, a.choice.Backend.ID)
 	if err != nil {
 		return errors.Wrap(err, "read answer")
@@ -104,7 +106,7 @@
 
 // forward copies whole events to the caller as they arrive.
 func (r *run) forward(ctx context.Context, a *attempt, out *stream) error {
-	reader := event.New(a.response.Body)
+	reader := event.New(a.response.Body, r.share)
 	watch := r.watchSilence(a.cancel, r.attempts)
 	defer watch.Stop()
 	for first := true; ; first = false {
--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -27,6 +27,7 @@
 
 	"papayaport.dev/entry/relay"
 	"papayaport.dev/serving/connection/peer"
+	"papayaport.dev/serving/connection/room"
 	"papayaport.dev/serving/connection/upstream"
 	"papayaport.dev/serving/process/clock"
 	"papayaport.dev/serving/process/departure"
@@ -198,6 +199,7 @@
 		s.leaseTTL(), clock.Boot, seeded())
 	s.relay = relay.New(relay.Parts{
 		Versions: &s.keeper, Routes: s.routes, Limiter: s, Intake: s.intake, Servers: s, Budget: s.budget, Pool: s.pool, Usage: s,
+		Room:  room.New(int64(set.MemoryMB) << 20 / answerShare),
 		Codec: p.Codec, Meters: relay.NewMeters(s.meters), Entries: s.entries, Draw: rand.Float64, Log: s.part("relay"),
 	})
 	s.overdue = s.meters.NewCounter("papayaport_caller_connections_overdue_total")
@@ -212,6 +214,10 @@
 	return s.log.WithFields(logrus.Fields{"instance": s.set.Instance, "part": name})
 }
 
+// answerShare is the part of the memory limit, as its divisor, that large answers may take: with
+// what small ones take it is below what the smallest instances of the users' sheets have free.
+const answerShare = 8
+
 // memoryShare is the share of the memory limit at which the garbage collector works
 // harder; the rest is for stacks of the kernel and unread bytes.
 const memoryShare = 0.75
--- a/serving/connection/event/event.go
+++ b/serving/connection/event/event.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	reader := event.New(body)
+//	reader := event.New(body, share)
 //	for {
 //		one, err := reader.Next()
 //		// io.EOF: the stream is complete; anything else: it broke off
@@ -21,10 +21,13 @@
 // MaxBytes is the largest event that is read, in bytes.
 const MaxBytes = 1 << 20
 
+// Room tells whether there is memory for an event of a number of bytes.
+type Room interface{ Hold(bytes int) bool }
+
 // readerBytes is the size of the read buffer in bytes; most events are far smaller.
 const readerBytes = 4 << 10
 
-// ErrTooLarge tells that an event is over MaxBytes.
+// ErrTooLarge tells that an event is over MaxBytes, or that there was no memory for it.
 var ErrTooLarge = errors.New("event too large")
 
 // Event is one whole event.
@@ -37,11 +40,14 @@
 
 // Reader reads one stream.
 type Reader struct {
-	in *bufio.Reader
+	in   *bufio.Reader
+	room Room
 }
 
-// New returns a reader of a stream.
-func New(in io.Reader) *Reader { return &Reader{in: bufio.NewReaderSize(in, readerBytes)} }
+// New returns a reader of a stream. Room holds the bytes of one event at a time.
+func New(in io.Reader, room Room) *Reader {
+	return &Reader{in: bufio.NewReaderSize(in, readerBytes), room: room}
+}
 
 // Next returns the next event. At the end of a complete stream it returns io.EOF; bytes
 // behind the last blank line then come in an Event of their own before it. Any other
@@ -51,6 +57,9 @@
 	for {
 		line, err := r.in.ReadSlice('\n')
 		e.Bytes = append(e.Bytes, line...)
+		if !r.room.Hold(cap(e.Bytes)) {
+			return Event{}, errors.Wrapf(ErrTooLarge, "no memory behind %d bytes", len(e.Bytes))
+		}
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
 		case errors.Is(err, io.EOF) && len(e.Bytes) > 0:
--- a/serving/connection/event/event_test.go
+++ b/serving/connection/event/event_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"papayaport.dev/serving/connection/event"
+	"papayaport.dev/serving/connection/room"
 )
 
 // broken ends with an error in place of io.EOF.
@@ -49,7 +50,7 @@
 		"too large": {strings.NewReader("data: " + strings.Repeat("x", event.MaxBytes+5000)), nil, nil, event.ErrTooLarge},
 	} {
 		t.Run(name, func(t *testing.T) {
-			reader := event.New(test.in)
+			reader := event.New(test.in, room.New(4<<20).Share())
 			var events, ids []string
 			for {
 				e, err := reader.Next()
@@ -64,3 +65,13 @@
 		})
 	}
 }
+
+// TestNoRoomForLargeEvents reads events while others hold all the memory for large ones.
+func TestNoRoomForLargeEvents(t *testing.T) {
+	in := "data: " + strings.Repeat("x", room.FreeBytes/4) + "\n\ndata: " + strings.Repeat("y", 2*room.FreeBytes) + "\n\n"
+	reader := event.New(strings.NewReader(in), room.New(0).Share())
+	_, err := reader.Next()
+	require.NoError(t, err)
+	_, err = reader.Next()
+	require.ErrorIs(t, err, event.ErrTooLarge)
+}
--- a/serving/connection/plain/plain.go
+++ b/serving/connection/plain/plain.go
@@ -29,6 +29,7 @@
 	"github.com/pkg/errors"
 
 	"papayaport.dev/serving/connection/engine"
+	"papayaport.dev/serving/connection/pool"
 )
 
 // Errors of an attempt.
@@ -99,9 +100,10 @@
 	}
 	defer conn.Close()
 	transport := &http.Transport{
-		DialContext:        (&single{conn: conn}).dial,
-		DisableKeepAlives:  true,
-		DisableCompression: true,
+		DialContext:            (&single{conn: conn}).dial,
+		DisableKeepAlives:      true,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: pool.HeadBytes,
 	}
 	client := &http.Client{Transport: transport, CheckRedirect: refuseRedirect}
 	answer, err := s.exchange(ctx, client, attempt)
--- a/serving/connection/plain/plain_test.go
+++ b/serving/connection/plain/plain_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -112,3 +113,40 @@
 	require.Error(t, err)
 	require.False(t, sent)
 }
+
+// TestHeadWithoutEnd reads an answer whose head never ends, over kept connections and others.
+func TestHeadWithoutEnd(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	closed := make(chan struct{}, 2)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				_, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\n")
+				for err == nil {
+					_, err = io.WriteString(conn, strings.Repeat("X-Line: x\r\n", 100))
+				}
+				closed <- struct{}{}
+			}()
+		}
+	}()
+	sender := plain.New(pool.New(pool.DefaultOptions), time.Second, 1<<20)
+	for name, idempotent := range map[string]bool{"idempotent": true, "non-idempotent": false} {
+		t.Run(name, func(t *testing.T) {
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			defer cancel()
+			_, sent, err := sender.Send(ctx, plain.Attempt{
+				ID: "1", Backend: "b", Address: "http://" + listener.Addr().String(), Method: http.MethodGet, Path: "/", Idempotent: idempotent,
+			})
+			require.Error(t, err)
+			require.True(t, sent)
+			require.NoError(t, ctx.Err())
+			<-closed
+		})
+	}
+}
--- a/serving/connection/pool/pool.go
+++ b/serving/connection/pool/pool.go
@@ -28,6 +28,10 @@
 	IdlePerServer int
 }
 
+// HeadBytes bounds the head of an answer that is read by net/http. The users' configurations
+// allow callers half as many bytes.
+const HeadBytes = 32 << 10
+
 // DefaultOptions suits backend servers in the same region.
 var DefaultOptions = Options{
 	DialTimeout:   time.Second,
@@ -73,10 +77,11 @@
 
 func (p *Pool) open(incarnation uint64) *server {
 	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: p.options.DialTimeout}).DialContext,
-		MaxIdleConnsPerHost: p.options.IdlePerServer,
-		IdleConnTimeout:     p.options.IdleTimeout,
-		DisableCompression:  true,
+		DialContext:            (&net.Dialer{Timeout: p.options.DialTimeout}).DialContext,
+		MaxIdleConnsPerHost:    p.options.IdlePerServer,
+		IdleConnTimeout:        p.options.IdleTimeout,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: HeadBytes,
 	}
 	client := &http.Client{Transport: transport, CheckRedirect: refuseRedirect}
 	return &server{incarnation: incarnation, client: client, transport: transport}
--- a/serving/connection/upstream/conn.go
+++ b/serving/connection/upstream/conn.go
@@ -87,6 +87,7 @@
 type conn struct {
 	raw   net.Conn
 	owner *connections
+	head  *headReader
 	in    *bufio.Reader
 	out   *bufio.Writer
 	// keep is how long the connection may stay unused, as of the last answer.
@@ -98,7 +99,8 @@
 }
 
 func newConn(raw net.Conn, owner *connections) *conn {
-	return &conn{raw: raw, owner: owner, in: bufio.NewReaderSize(raw, bufferBytes), out: bufio.NewWriter(raw)}
+	head := &headReader{in: raw}
+	return &conn{raw: raw, owner: owner, head: head, in: bufio.NewReaderSize(head, bufferBytes), out: bufio.NewWriter(raw)}
 }
 
 func (c *conn) abort() { c.close() }
@@ -219,6 +221,9 @@
 // readHead reads answers until one belongs to the request.
 func (c *conn) readHead(request Request, echo string) (*http.Response, error) {
 	for range maxForeign + 1 {
+		if err := c.head.begin(c.in); err != nil {
+			return nil, errors.Wrap(err, "read answer")
+		}
 		raw, err := http.ReadResponse(c.in, &http.Request{Method: request.Method})
 		if err != nil {
 			return nil, errors.Wrap(err, "read answer")
--- a/standin/outside/server.go
+++ b/standin/outside/server.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -40,6 +41,20 @@
 	Fail
 	// Hang runs the request and never answers.
 	Hang
+	// EndlessHead, EndlessLines and EndlessBody send an answer without end: one line, many
+	// lines, or a body; a stream sends an event without end in place of the body.
+	EndlessHead
+	EndlessLines
+	EndlessBody
+	// Trickle sends a byte of the body, or of an event, each tricklePeriod.
+	Trickle
+)
+
+const (
+	// tricklePeriod is far below the longest silence that anyone allows.
+	tricklePeriod = 100 * time.Millisecond
+	// endlessPiece is what is repeated without end, in bytes.
+	endlessPiece = 16 << 10
 )
 
 // Server describes a backend server.
@@ -297,6 +312,19 @@
 	b.tell(header, false)
 	header.Set("X-Papayaport-Instance-Load", b.load())
 	header.Set("X-Papayaport-Server-Seal", b.Seal(id))
+	switch wrong {
+	case EndlessHead:
+		b.endless(w, "HTTP/1.1 200 OK\r\nX-Long: ", strings.Repeat("x", endlessPiece))
+		return
+	case EndlessLines:
+		b.endless(w, "HTTP/1.1 200 OK\r\n", strings.Repeat("X-Line: x\r\n", endlessPiece/11))
+		return
+	case EndlessBody, Trickle:
+		header.Set("Content-Type", "text/event-stream")
+		w.WriteHeader(http.StatusOK)
+		b.trickle(w, r, wrong)
+		return
+	}
 	if b.Events > 0 && wrong != Fail {
 		b.stream(w, r, wrong)
 		return
@@ -339,6 +367,36 @@
 	}
 }
 
+// endless writes past net/http until the caller closes.
+func (b *Backend) endless(w http.ResponseWriter, begin, repeated string) {
+	conn, buffer, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer conn.Close()
+	write(buffer.Writer, begin)
+	for err == nil {
+		_, err = io.WriteString(conn, repeated)
+	}
+}
+
+// trickle writes a body without end, as fast as it is read or a byte now and then.
+func (b *Backend) trickle(w http.ResponseWriter, r *http.Request, wrong Misbehaviour) {
+	piece, control := strings.Repeat("x", endlessPiece), http.NewResponseController(w)
+	if wrong == Trickle {
+		piece = "x"
+	}
+	for r.Context().Err() == nil {
+		if _, err := io.WriteString(w, piece); err != nil {
+			return
+		}
+		if wrong == Trickle {
+			_ = control.Flush() // an error shows in the next write
+			time.Sleep(tricklePeriod)
+		}
+	}
+}
+
 func (b *Backend) head(id string, length int) string {
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Papayaport-Attempt-Id: %s\r\nX-Papayaport-Server-Seal: %s\r\nKeep-Alive: timeout=5\r\nContent-Length: %d\r\n\r\n",
 		id, b.Seal(id), length)
