--- a/entry/gateway/generate.go
+++ b/entry/gateway/generate.go
@@ -106,8 +106,9 @@
 	target := r.target
 	r.mu.Unlock()
 	if backend, found := g.Routes.Backend(target); found {
-		if _, leaving := g.Routes.IsLeaving(target); !leaving {
-			return route.Choice{Backend: backend, CachedTokens: r.promptSize}, nil
+		choice := route.Choice{Backend: backend, CachedTokens: r.promptSize}
+		if g.Routes.MayGo(g.Clock(), choice) {
+			return choice, nil
 		}
 	}
 	return g.Routes.Choose(g.Clock(), r.routeRequest())
--- a/serving/connection/upstream/upstream_test.go
+++ b/serving/connection/upstream/upstream_test.go
@@ -158,3 +158,40 @@
 		})
 	}
 }
+
+// TestWithheldRequests guards against a request that goes out although its server took no
+// more when the connection was there; the connection stays good.
+func TestWithheldRequests(t *testing.T) {
+	var requests atomic.Int64
+	address, _ := serve(t, func(conn net.Conn, in *bufio.Reader) {
+		for read(in) {
+			requests.Add(1)
+			answer(conn, "1", "ok")
+		}
+	})
+	pool := newPool()
+	server := upstream.Server{ID: "s", Incarnation: 1, Address: address}
+	ask := func(mayGo bool) error {
+		response, err := pool.Send(context.Background(), server, upstream.Request{
+			ID: "1", Method: http.MethodGet, Target: "/", Host: "h", MayGo: func() bool { return mayGo },
+		})
+		if err != nil {
+			return err
+		}
+		defer response.Close()
+		_, err = io.Copy(io.Discard, response.Body)
+		return err
+	}
+	for _, mayGo := range []bool{false, true, false, true} {
+		err := ask(mayGo)
+		if mayGo {
+			require.NoError(t, err)
+			continue
+		}
+		var failure *upstream.Error
+		require.ErrorAs(t, err, &failure)
+		require.ErrorIs(t, err, upstream.ErrWithheld)
+		require.False(t, failure.Sent)
+	}
+	require.Equal(t, int64(2), requests.Load())
+}
