Bound the numbers of tokens that a caller names

One request took an instance down: a part of a prompt with 9e18 tokens in its header was cut into blocks until memory ended (6 GB in use, then 'out of memory', in TestOneMessageTakesNoInstanceDown on the code before).

The class: figures from outside that become sizes or amounts. A process that starts cut off from the store takes no withdrawn key and no server that left (TestRestartBringsNothingBack), no fault found either.

--- a/entry/relay/prompt.go
+++ b/entry/relay/prompt.go
@@ -11,6 +11,10 @@
 	"papayaport.dev/serving/request/route"
 )
 
+// mostBlocks bounds the blocks of a prompt that are looked for: two million tokens, several
+// times the memory of an engine.
+const mostBlocks = 2_000_000 / prefix.BlockTokens
+
 // blocks names the prefixes of a prompt block by block. The last part is the request's
 // own and is not looked for elsewhere.
 func (p *Prompt) blocks() []prefix.Block {
@@ -21,6 +25,9 @@
 	digest := xxhash.New()
 	for _, part := range p.Parts[:len(p.Parts)-1] {
 		for range part.Tokens / prefix.BlockTokens {
+			if len(chain) >= mostBlocks {
+				return chain
+			}
 			// A digest in memory takes every write.
 			_, _ = digest.Write(binary.LittleEndian.AppendUint64(nil, part.ID))
 			chain = append(chain, prefix.Block(digest.Sum64()))
--- a/standin/outside/server.go
+++ b/standin/outside/server.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -46,6 +47,10 @@
 	EndlessHead
 	EndlessLines
 	EndlessBody
+	// LateTwice sends the whole answer, and a second copy when the connection is in use again;
+	// LateTwiceBare leaves the request's id out of the copy.
+	LateTwice
+	LateTwiceBare
 	// Trickle sends a byte of the body, or of an event, each tricklePeriod.
 	Trickle
 )
@@ -112,7 +117,7 @@
 	mu          sync.Mutex
 	wishes      Wishes
 	wrong       Misbehaviour
-	times       int
+	times       *atomic.Int64
 	active      int
 	waiting     int
 	freed       *sync.Cond
@@ -176,9 +181,17 @@
 
 // Misbehave makes the next requests go wrong.
 func (b *Backend) Misbehave(wrong Misbehaviour, times int) {
+	var left atomic.Int64
+	left.Store(int64(times))
+	b.MisbehaveTogether(wrong, &left)
+}
+
+// MisbehaveTogether makes the next requests go wrong that reach this server or another one
+// with the same number left.
+func (b *Backend) MisbehaveTogether(wrong Misbehaviour, left *atomic.Int64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.wrong, b.times = wrong, times
+	b.wrong, b.times = wrong, left
 }
 
 // Wish sets what the server asks for from now on.
@@ -230,10 +243,9 @@
 func (b *Backend) next() Misbehaviour {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.times == 0 {
+	if b.times == nil || b.times.Add(-1) < 0 {
 		return Nothing
 	}
-	b.times--
 	return b.wrong
 }
 
@@ -353,6 +365,12 @@
 		b.raw(w, b.head(id, len(answer))+answer[:len(answer)/2])
 	case Twice:
 		b.raw(w, b.head(id, len(answer))+answer+b.head(id, len(answer))+answer)
+	case LateTwice, LateTwiceBare:
+		copied := b.head(id, len(answer)) + answer
+		if wrong == LateTwiceBare {
+			copied = strings.Replace(copied, "X-Papayaport-Attempt-Id: "+id+"\r\n", "", 1)
+		}
+		b.late(w, b.head(id, len(answer))+answer, copied)
 	case Foreign:
 		b.raw(w, b.head("another", 5)+"wrong"+b.head(id, len(answer))+answer)
 	case Encoded:
@@ -419,6 +437,22 @@
 	time.Sleep(50 * time.Millisecond)
 }
 
+// late answers past net/http and sends more bytes as soon as the next request has begun to
+// arrive, and then no more.
+func (b *Backend) late(w http.ResponseWriter, answer, more string) {
+	conn, buffer, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer conn.Close()
+	write(buffer.Writer, answer)
+	if _, err := buffer.ReadByte(); err != nil {
+		return
+	}
+	write(buffer.Writer, more)
+	time.Sleep(50 * time.Millisecond)
+}
+
 func write(out *bufio.Writer, data string) {
 	_, _ = out.WriteString(data) // Flush returns the error, and the test sees the answer
 	_ = out.Flush()
