Take no answer without an id on a connection that carried others

A caller got the answer of the request before: a server sent a second copy of an answer, without the request's id, when its connection was in use again ('id-2 got answer of plain-a to id-1', TestLateSecondAnswers 'without an id' on the code before). Copies with the id were skipped, and copies that came before the connection was used again closed it; an answer that names no request passed for the one that was waited for.

Change: on a connection that carried a request before, such an answer ends the attempt as one of another request, and the connection is reset. On a new one it can only be the one asked for.

--- a/serving/connection/upstream/conn.go
+++ b/serving/connection/upstream/conn.go
@@ -231,8 +231,14 @@
 		if raw.StatusCode/100 == 1 {
 			continue
 		}
-		if id := raw.Header.Get(echo); id == "" || id == request.ID {
+		switch id := raw.Header.Get(echo); {
+		case id == request.ID:
 			return raw, nil
+		case id == "" && c.lastUsed.IsZero():
+			return raw, nil
+		case id == "":
+			// It may be a late copy of an earlier answer, and no other may follow.
+			return nil, errors.Wrap(ErrForeign, "an answer that names no request, on a connection with earlier ones")
 		}
 		if n, err := io.Copy(io.Discard, io.LimitReader(raw.Body, maxForeignBytes)); err != nil || n == maxForeignBytes || raw.Close {
 			return nil, ErrForeign
