--- a/soak/plan/plan.go
+++ b/soak/plan/plan.go
@@ -39,6 +39,13 @@
 	DrainBackend Kind = "drain_backend"
 	// WrongBackend lets a backend server misbehave.
 	WrongBackend Kind = "wrong_backend"
+	// LimitBackend, CloseBackend and LeaveBackend let a backend server ask for something in its
+	// answers: a limit, nothing for a while, or nothing more, and EndlessBackend answer without
+	// end or twice.
+	LimitBackend   Kind = "limit_backend"
+	CloseBackend   Kind = "close_backend"
+	LeaveBackend   Kind = "leave_backend"
+	EndlessBackend Kind = "endless_backend"
 	// StoreDown, StoreSlow, StorePast and StoreLoses are faults of the store itself.
 	StoreDown  Kind = "store_down"
 	StoreSlow  Kind = "store_slow"
@@ -116,6 +123,10 @@
 	// leastPast is how long it takes at least until the store has answered from the past: a
 	// configuration spreads first, which the past lacks.
 	leastPast = 3 * time.Second
+	// mostWishes bounds the faults of servers that ask for something, leastWish is how long each
+	// lasts at least, so that bounds that begin seconds later are seen.
+	mostWishes = 3
+	leastWish  = 6 * time.Second
 	// mostPublished bounds the configurations of one fault.
 	mostPublished = 6
 	// mostDelay bounds the delay of a link or the store.
@@ -179,9 +190,26 @@
 		}
 		p.Faults = append(p.Faults, f)
 	}
+	p.Faults = append(p.Faults, wishes(seed, size, p.Plain+p.Engines)...)
 	slices.SortStableFunc(p.Faults, func(a, b Fault) int { return int(a.At - b.At) })
 	return p
 }
 
+var wishKinds = []Kind{LimitBackend, LimitBackend, CloseBackend, LeaveBackend, EndlessBackend}
+
+// wishes draws faults of servers that ask for something. They have a random source of their
+// own, so that the plans of seeds that failed before these faults existed keep what they had.
+func wishes(seed uint64, size Size, backends int) []Fault {
+	r := rand.New(rand.NewPCG(seed, 1))
+	var faults []Fault
+	for range r.IntN(mostWishes + 1) {
+		f := Fault{Kind: wishKinds[r.IntN(len(wishKinds))], Target: r.IntN(backends), Number: 1 + r.IntN(mostPublished)}
+		f.For = leastWish + time.Duration(r.Float64()*float64(size.Length-leastWish)/2)
+		f.At = time.Duration(r.Float64() * float64(size.Length-f.For))
+		faults = append(faults, f)
+	}
+	return faults
+}
+
 // DelayOf returns how long a delay that belongs to a fault is.
 func DelayOf(f Fault) time.Duration { return mostDelay * time.Duration(f.Number) / mostPublished }
--- a/soak/verdict/verdict.go
+++ b/soak/verdict/verdict.go
@@ -75,6 +75,10 @@
 	Probes   []Probe
 	// Cloud is what the cloud API found wrong.
 	Cloud []string
+	// Told is what backend servers asked for, Held when something excuses who did not hear or
+	// heed it.
+	Told []Told
+	Held []Held
 	// Rate and Burst are the limit of the client account in tokens, with its tolerances.
 	Limit  Limit
 	Budget Budget
@@ -115,7 +119,7 @@
 func Judge(r Record) []string {
 	var found []string
 	for _, check := range []func(Record) []string{
-		answers, atMostOnce, notRunIsTrue, leaving, plannedStops, versions, limits, budgets,
+		answers, atMostOnce, notRunIsTrue, leaving, plannedStops, versions, limits, budgets, wishes,
 	} {
 		found = append(found, check(r)...)
 	}
--- a/soak/world/inject.go
+++ b/soak/world/inject.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"slices"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -74,6 +76,8 @@
 	case plan.WrongBackend:
 		b := w.backend(f.Target)
 		return during(func() { b.Misbehave(wrongs[(f.Number+f.Target)%len(wrongs)], wrongTimes) }, func() { b.Misbehave(outside.Nothing, 0) })
+	case plan.LimitBackend, plan.CloseBackend, plan.LeaveBackend, plan.EndlessBackend:
+		return w.injectWish(f, hold)
 	case plan.StoreDown:
 		return during(func() { w.store.Down(true) }, func() { w.store.Down(false) })
 	case plan.StoreSlow:
@@ -95,6 +99,54 @@
 	return errors.Errorf("unknown kind")
 }
 
+// limits are those that backend servers name, endless what they do in place of an answer.
+var (
+	limits  = []string{"0.5", "1", "1.1", "2", "5", "20"}
+	endless = []outside.Misbehaviour{
+		outside.EndlessHead, outside.EndlessLines, outside.EndlessBody, outside.Trickle, outside.LateTwice, outside.LateTwiceBare,
+	}
+)
+
+// retryAfter is for how long servers that turn requests away want none, in seconds.
+const retryAfter = "3"
+
+// wishPlaces is where the places of servers that ask for something begin among those claimed.
+const wishPlaces = 10_000
+
+// injectWish lets a backend server ask for something. One that said that it leaves goes.
+func (w *World) injectWish(f plan.Fault, hold func() error) error {
+	if !w.claim(wishPlaces + f.Target) {
+		return nil
+	}
+	defer w.release(wishPlaces + f.Target)
+	b := w.backend(f.Target)
+	switch f.Kind {
+	case plan.LimitBackend:
+		b.Wish(outside.Wishes{Limit: limits[f.Number-1]})
+	case plan.CloseBackend:
+		b.Wish(outside.Wishes{RetryAfter: retryAfter})
+		b.Misbehave(outside.Refuse, math.MaxInt32)
+	case plan.LeaveBackend:
+		b.Wish(outside.Wishes{Leaving: "1"})
+	default:
+		b.Misbehave(endless[f.Number-1], wrongTimes)
+	}
+	err := hold()
+	b.Wish(outside.Wishes{})
+	b.Misbehave(outside.Nothing, 0)
+	place := w.plan.Entries + f.Target
+	if err != nil || f.Kind != plan.LeaveBackend || !w.claim(place) {
+		return err
+	}
+	defer w.release(place)
+	if w.backend(f.Target) != b {
+		return nil // it was ended by another fault
+	}
+	b.Stop()
+	b.Unregister()
+	return w.startBackend(f.Target, fmt.Sprintf("%s-%d", b.ID, b.life))
+}
+
 // injectPast lets the store answer from before a configuration that is in force already.
 func (w *World) injectPast(ctx context.Context, f plan.Fault) error {
 	w.store.Remember()
@@ -236,11 +288,53 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return slices.ContainsFunc(w.faults, func(in *injected) bool {
-		cutting := slices.Contains([]plan.Kind{plan.KillBackend, plan.DrainBackend, plan.WrongBackend, plan.BackendLink}, in.Kind)
+		cutting := slices.Contains([]plan.Kind{plan.KillBackend, plan.DrainBackend, plan.WrongBackend, plan.BackendLink, plan.LeaveBackend, plan.EndlessBackend}, in.Kind)
 		return cutting && in.overlaps(span)
 	})
 }
 
+// holding are faults that excuse an entry instance from what backend servers ask for, and of a
+// backend server those that hold up what is under way to it.
+var (
+	holding    = []plan.Kind{plan.KillEntry, plan.PauseEntry, plan.StopEntry, plan.PeerLink}
+	holdingAll = []plan.Kind{plan.BackendLink, plan.KillBackend, plan.DrainBackend, plan.LeaveBackend}
+)
+
+// held returns when entry instances, or the ways to a backend server, were held up. The caller
+// has w.mu locked.
+func (w *World) held() (all []verdict.Held) {
+	for _, in := range w.faults {
+		one := verdict.Held{Entry: in.Target, Span: in.Span, Cut: in.Kind == plan.PeerLink}
+		if one.To.IsZero() {
+			one.To = time.Now()
+		}
+		switch {
+		case slices.Contains(holding, in.Kind):
+		case slices.Contains(holdingAll, in.Kind):
+			one.Entry, one.Server = verdict.Every, serverName(in.Target)
+		default:
+			continue
+		}
+		all = append(all, one)
+	}
+	return all
+}
+
+// toldBy returns what an answer asked for in figures.
+func toldBy(server string, told outside.Told) verdict.Told {
+	number := func(value string) float64 {
+		figure, err := strconv.ParseFloat(value, 64)
+		if err != nil {
+			return 0 // not named
+		}
+		return figure
+	}
+	return verdict.Told{
+		ID: told.ID, At: told.At, Server: server, PerSecond: number(told.Limit), Leaving: told.Leaving != "",
+		Closed: time.Duration(number(told.RetryAfter) * float64(time.Second)),
+	}
+}
+
 // cutLate is how long after a fault of a backend server an answer may still be lost by it.
 const cutLate = 2 * time.Second
 
@@ -265,6 +359,7 @@
 			r.Blind = append(r.Blind, blind)
 		}
 	}
+	r.Held = w.held()
 	for _, b := range w.ever {
 		for _, run := range b.Runs() {
 			body := b.Body(run.ID)
@@ -276,6 +371,9 @@
 			}
 			r.Runs = append(r.Runs, verdict.Run{ID: run.ID, At: run.At, Server: b.label, Body: body, Seal: b.Seal(run.ID)})
 		}
+		for _, told := range b.Told() {
+			r.Told = append(r.Told, toldBy(b.label, told))
+		}
 		for _, arrival := range b.Arrivals() {
 			r.Arrivals = append(r.Arrivals, verdict.Run{ID: arrival.ID, At: arrival.At, Server: b.label})
 		}
--- a/soak/world/world.go
+++ b/soak/world/world.go
@@ -201,7 +201,7 @@
 			b.events = streamSize
 		}
 		w.backends = append(w.backends, b)
-		if err := w.startBackend(i, fmt.Sprintf("server-%d", i)); err != nil {
+		if err := w.startBackend(i, serverName(i)); err != nil {
 			return err
 		}
 	}
@@ -259,6 +259,9 @@
 	w.accepted = time.Now()
 }
 
+// serverName is the name of the first backend server in a place; later ones add to it.
+func serverName(place int) string { return fmt.Sprintf("server-%d", place) }
+
 // startBackend starts the next incarnation of a place, at the address of the one before.
 func (w *World) startBackend(place int, id string) error {
 	w.mu.Lock()
--- a/standin/outside/server.go
+++ b/standin/outside/server.go
@@ -90,6 +90,14 @@
 	RetryAfter string
 }
 
+// Told is an answer in which the server asked for something.
+type Told struct {
+	// ID is that of the request that was answered.
+	ID string
+	At time.Time
+	Wishes
+}
+
 // Run is one request that the server began to run.
 type Run struct {
 	ID     string
@@ -123,6 +131,7 @@
 	freed       *sync.Cond
 	runs        []Run
 	arrivals    []Arrival
+	told        []Told
 	misdirected int
 	draining    bool
 }
@@ -201,10 +210,24 @@
 	b.wishes = wishes
 }
 
+// Told returns the answers in which the server asked for something.
+func (b *Backend) Told() []Told {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return append([]Told(nil), b.told...)
+}
+
 // tell puts what the server asks for into the head of an answer.
-func (b *Backend) tell(header http.Header, refused bool) {
+func (b *Backend) tell(id string, header http.Header, refused bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	told := Told{ID: id, At: time.Now(), Wishes: b.wishes}
+	if !refused {
+		told.RetryAfter = ""
+	}
+	if told.Wishes != (Wishes{}) {
+		b.told = append(b.told, told)
+	}
 	fields := map[string]string{"Server-Limit": b.wishes.Limit, "Server-Leaving": b.wishes.Leaving}
 	if refused {
 		fields["Retry-After"] = b.wishes.RetryAfter
@@ -316,12 +339,12 @@
 	run := Run{ID: id, At: now, Method: r.Method, Target: r.RequestURI, Header: r.Header.Clone(), Body: string(body)}
 	if wrong == Refuse || !b.begin(r.Context(), run) {
 		header.Set("X-Papayaport-Not-Executed", "1")
-		b.tell(header, true)
+		b.tell(id, header, true)
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	defer b.end()
-	b.tell(header, false)
+	b.tell(id, header, false)
 	header.Set("X-Papayaport-Instance-Load", b.load())
 	header.Set("X-Papayaport-Server-Seal", b.Seal(id))
 	switch wrong {
