Hold requests back from servers of the product's own interface that want none

An engine's 503 with Retry-After, and that of a plain service whose contract says that the status means not run, keep requests from that server for the time, as at the users' platform.

--- a/entry/gateway/generate.go
+++ b/entry/gateway/generate.go
@@ -82,7 +82,7 @@
 }
 
 // choose picks a backend server. A request that has begun waits for one; a new one is
-// refused at once.
+// refused at once, and so is one without any token while all servers want no request.
 func (g *Gateway) choose(ctx context.Context, r *run) (route.Choice, error) {
 	for {
 		choice, err := g.pick(r)
@@ -95,6 +95,9 @@
 		if !begun {
 			return route.Choice{}, err
 		}
+		if r.log.Tokens() == 0 && problem.From(err).Kind == problem.HeldBack {
+			return route.Choice{}, afterAttempt(err)
+		}
 		if err := clock.Sleep(ctx, backendWait); err != nil {
 			return route.Choice{}, err
 		}
@@ -220,8 +223,10 @@
 func (g *Gateway) stream(ctx context.Context, r *run, a *attempt) (answer.End, error) {
 	backend := a.choice.Backend
 	client := engine.New(g.Pool.Client(backend.ID, backend.Incarnation), backend.Address)
+	sentAt := g.Clock()
 	stream, err := client.Complete(ctx, r.completion(a.id), g.progress(r, a.choice))
 	if err != nil {
+		g.noteRefusal(sentAt, a.choice, err)
 		return answer.End{}, err
 	}
 	defer stream.Close()
--- a/entry/gateway/plain.go
+++ b/entry/gateway/plain.go
@@ -192,7 +192,11 @@
 	g.Routes.Sent(g.Clock(), id, choice, p.routeRequest())
 	limited, cancel := context.WithTimeoutCause(ctx, g.plainLimit(p), errSilent)
 	defer cancel()
+	sentAt := g.Clock()
 	answer, sent, err := g.Sender.Send(limited, p.attempt(id, choice))
+	if err == nil && slices.Contains(p.route.NotRunStatus, answer.Status) {
+		g.noteClosed(sentAt, choice, answer.Status, answer.Header.Get("Retry-After"))
+	}
 	err = p.judge(answer, sent, err)
 	g.Routes.Done(g.Clock(), id, plainResult(err, context.Cause(limited)), 0)
 	return answer, err
--- a/serving/connection/engine/client.go
+++ b/serving/connection/engine/client.go
@@ -36,6 +36,8 @@
 type RefusedError struct {
 	Status int
 	Detail string
+	// RetryAfter is the field of that name as it was sent, empty for none.
+	RetryAfter string
 }
 
 // Error implements error.
@@ -116,7 +118,9 @@
 func refused(response *http.Response) error {
 	defer response.Body.Close()
 	detail, _ := io.ReadAll(io.LimitReader(response.Body, 512))
-	return &RefusedError{Status: response.StatusCode, Detail: string(bytes.TrimSpace(detail))}
+	return &RefusedError{
+		Status: response.StatusCode, Detail: string(bytes.TrimSpace(detail)), RetryAfter: response.Header.Get("Retry-After"),
+	}
 }
 
 func (s *Stream) giveUp() {
