Let large answers that tell their length wait for memory

Beyond 64 KB an answer that found the memory for large answers taken was given up, so that sound answers of some MB could be lost when many came at once. One that tells its length now waits until there is room for all of it; only those that don't are given up. An event without room no longer costs its server trust.

--- a/entry/relay/meters.go
+++ b/entry/relay/meters.go
@@ -22,15 +22,23 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("papayaport_attempts_total{service=%q}", service)).Inc()
 }
 
-// noteEndless counts an answer that was given up because it passed a bound.
+// noteEndless counts an answer that was given up because it passed a bound; other errors are
+// none of its own.
 func (m *Meters) noteEndless(service string, err error) {
-	for what, bound := range map[string]error{
-		"head": upstream.ErrEndless, "body": room.ErrTooLarge, "event": event.ErrTooLarge, "memory": room.ErrFull,
-	} {
-		if errors.Is(err, bound) {
-			m.set.GetOrCreateCounter(fmt.Sprintf("papayaport_answers_past_a_bound_total{service=%q,bound=%q}", service, what)).Inc()
-		}
+	bound := ""
+	switch {
+	case errors.Is(err, upstream.ErrEndless):
+		bound = "head"
+	case errors.Is(err, room.ErrTooLarge):
+		bound = "body"
+	case errors.Is(err, event.ErrTooLarge):
+		bound = "event"
+	case errors.Is(err, room.ErrFull), errors.Is(err, event.ErrNoRoom):
+		bound = "memory"
+	default:
+		return
 	}
+	m.set.GetOrCreateCounter(fmt.Sprintf("papayaport_answers_past_a_bound_total{service=%q,bound=%q}", service, bound)).Inc()
 }
 
 // withheld counts a request that a server took no more when a connection to it was there.
--- a/entry/relay/plain.go
+++ b/entry/relay/plain.go
@@ -59,7 +59,7 @@
 	if err := r.refusal(a); err != nil {
 		return answer, nil, err
 	}
-	body, err := r.share.ReadAll(a.response.Body, maxAnswerBytes)
+	body, err := r.share.ReadAll(ctx, a.response.Body, a.response.Length, maxAnswerBytes)
 	if err != nil {
 		r.settle(a, brokenResult(err))
 		r.relay.Meters.noteEndless(r.service, err)
@@ -81,7 +81,7 @@
 	switch {
 	case errors.Is(err, room.ErrTooLarge), errors.Is(err, event.ErrTooLarge):
 		return route.Wrong
-	case errors.Is(err, room.ErrFull):
+	case errors.Is(err, room.ErrFull), errors.Is(err, event.ErrNoRoom):
 		return route.Cancelled
 	}
 	return route.Failed
--- a/entry/relay/stream.go
+++ b/entry/relay/stream.go
@@ -65,7 +65,7 @@
 		return a.answer, err
 	}
 	if a.response.Status != http.StatusOK {
-		return a.answer, r.streamFailure(a, out)
+		return a.answer, r.streamFailure(ctx, a, out)
 	}
 	err = r.forward(ctx, a, out)
 	result := route.OK
@@ -86,8 +86,8 @@
 }
 
 // streamFailure passes a server's failure on when the caller has nothing yet.
-func (r *run) streamFailure(a *attempt, out *stream) error {
-	body, err := r.share.ReadAll(a.response.Body, maxAnswerBytes)
+func (r *run) streamFailure(ctx context.Context, a *attempt, out *stream) error {
+	body, err := r.share.ReadAll(ctx, a.response.Body, a.response.Length, maxAnswerBytes)
 	status := a.response.Status
 	r.settle(a, route.Failed)
 	r.relay.Meters.noteEndless(r.service, err)
--- a/serving/connection/event/event.go
+++ b/serving/connection/event/event.go
@@ -27,8 +27,13 @@
 // readerBytes is the size of the read buffer in bytes; most events are far smaller.
 const readerBytes = 4 << 10
 
-// ErrTooLarge tells that an event is over MaxBytes, or that there was no memory for it.
-var ErrTooLarge = errors.New("event too large")
+// Errors of a reader.
+var (
+	// ErrTooLarge tells that an event is over MaxBytes.
+	ErrTooLarge = errors.New("event too large")
+	// ErrNoRoom tells that there was no memory for an event.
+	ErrNoRoom = errors.New("no memory left for a large event")
+)
 
 // Event is one whole event.
 type Event struct {
@@ -58,7 +63,7 @@
 		line, err := r.in.ReadSlice('\n')
 		e.Bytes = append(e.Bytes, line...)
 		if !r.room.Hold(cap(e.Bytes)) {
-			return Event{}, errors.Wrapf(ErrTooLarge, "no memory behind %d bytes", len(e.Bytes))
+			return Event{}, errors.Wrapf(ErrNoRoom, "behind %d bytes", len(e.Bytes))
 		}
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
--- a/serving/connection/upstream/conn.go
+++ b/serving/connection/upstream/conn.go
@@ -47,6 +47,8 @@
 type Response struct {
 	Status int
 	Header http.Header
+	// Length is the number of bytes of the body as the server tells it, -1 when it doesn't.
+	Length int64
 	// Body ends with io.EOF only when the answer is whole.
 	Body io.Reader
 
@@ -180,8 +182,11 @@
 	if err != nil {
 		return nil, true, err
 	}
-	ended := &endReader{Reader: raw.Body}
-	return &Response{Status: raw.StatusCode, Header: raw.Header, Body: ended, conn: c, raw: raw, ended: ended}, true, nil
+	ended, length := &endReader{Reader: raw.Body}, raw.ContentLength
+	if raw.Body == http.NoBody {
+		length = 0 // the answer to a HEAD request tells the length of another's body
+	}
+	return &Response{Status: raw.StatusCode, Header: raw.Header, Length: length, Body: ended, conn: c, raw: raw, ended: ended}, true, nil
 }
 
 func (c *conn) writeHead(request Request) error {
--- a/soak/world/inject.go
+++ b/soak/world/inject.go
@@ -297,7 +297,7 @@
 // backend server those that hold up what is under way to it.
 var (
 	holding    = []plan.Kind{plan.KillEntry, plan.PauseEntry, plan.StopEntry, plan.PeerLink}
-	holdingAll = []plan.Kind{plan.BackendLink, plan.KillBackend, plan.DrainBackend, plan.LeaveBackend}
+	holdingAll = []plan.Kind{plan.BackendLink, plan.KillBackend, plan.DrainBackend}
 )
 
 // held returns when entry instances, or the ways to a backend server, were held up. The caller
--- a/standin/outside/server.go
+++ b/standin/outside/server.go
@@ -132,6 +132,7 @@
 	runs        []Run
 	arrivals    []Arrival
 	told        []Told
+	large       string
 	misdirected int
 	draining    bool
 }
@@ -367,8 +368,22 @@
 	b.plain(w, r, id, wrong)
 }
 
+// Large replaces the bodies of a plain service from now on.
+func (b *Backend) Large(body string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.large = body
+}
+
 // Body is the whole answer of a plain service to a request.
-func (b *Backend) Body(id string) string { return "answer of " + b.ID + " to " + id }
+func (b *Backend) Body(id string) string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.large != "" {
+		return b.large
+	}
+	return "answer of " + b.ID + " to " + id
+}
 
 func (b *Backend) plain(w http.ResponseWriter, r *http.Request, id string, wrong Misbehaviour) {
 	select {
