--- a/serving/process/membership/table_test.go
+++ b/serving/process/membership/table_test.go
@@ -58,6 +58,7 @@
 	sizes := map[string]struct{ entries, domains int }{
 		"today":  {8, 4},
 		"medium": {48, 6},
+		"large":  {200, 6},
 	}
 	for name, size := range sizes {
 		t.Run(name, func(t *testing.T) {
