Leave connections to backend servers without the kernel's probes

Cause: the request went out at 18.13 s on a kept connection that had been unused since before the cut (15.7 to 21.2 s). The kernel's probes gave the connection up at 20.70 s, before the attempt's own time was over (3.6 s), and without a reset; the bytes came through behind the cut. Ruled out: the notice (the instance had it, no other request went there), a request chosen before (it was sent three seconds before the notice).

Change: no probes on these connections. Every wait for an answer has a bound of its own, and closing resets.

--- a/serving/connection/upstream/conn.go
+++ b/serving/connection/upstream/conn.go
@@ -20,8 +20,9 @@
 	usableShare = 0.6
 	// maxForeign is the number of answers to other requests that are skipped for one.
 	maxForeign = 3
-	// maxForeignBytes bounds the body of a skipped answer in bytes.
-	maxForeignBytes = 1 << 20
+	// maxForeignBytes bounds the body of a skipped answer in bytes: several times the usual one
+	// of a plain service. A connection with a larger one is not worth the reading.
+	maxForeignBytes = 64 << 10
 	// inlineBody is the largest body in bytes that is written together with the head;
 	// a larger one goes out beside reading, since a server may answer before it has read all.
 	inlineBody = 2 << 10
--- a/serving/connection/upstream/upstream.go
+++ b/serving/connection/upstream/upstream.go
@@ -92,20 +92,17 @@
 	idle   []*conn
 }
 
-// Keep-alive probes find connections that have gone silent for good.
-const (
-	probeIdle     = 2 * time.Second
-	probeInterval = time.Second
-	probeCount    = 3
-)
+// noProbes leaves connections without the kernel's keep-alive probes. A connection that these
+// give up is not reset, and the bytes of a request on it would reach the server when a cut
+// heals, after the request was answered or sent elsewhere. Whoever waits for an answer bounds
+// the wait, and closing resets.
+const noProbes = -1
 
 // New returns a pool without connections.
 func New(options Options) *Pool {
 	return &Pool{
 		options: options,
-		dialer: net.Dialer{Timeout: options.DialTimeout, KeepAliveConfig: net.KeepAliveConfig{
-			Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount,
-		}},
+		dialer:  net.Dialer{Timeout: options.DialTimeout, KeepAlive: noProbes},
 		servers: map[string]*connections{},
 	}
 }
