--- /dev/null
+++ b/serving/version/rollout/tail.go
@@ -0,0 +1,15 @@
+package rollout
+
+import "gonum.org/v1/gonum/stat/distuv"
+
+// tail returns the probability of at least bad failures among n answers when each fails
+// with a probability of rate.
+func tail(n, bad int, rate float64) float64 {
+	switch {
+	case bad <= 0:
+		return 1
+	case rate <= 0:
+		return 0
+	}
+	return distuv.Binomial{N: float64(n), P: rate}.Survival(float64(bad) - 1)
+}
