Keep a part of a hot account's limit for its urgent requests

Change: a pool that has refused keeps a part of itself for each more urgent rank, and a tenth of what is paid in for the others.

--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -151,8 +151,8 @@
 // Limiter keeps the limits of client accounts over all entry instances.
 type Limiter interface {
 	// Admit charges a request to its account, or returns a *problem.Error. It tells who
-	// decided, for the log.
-	Admit(ctx context.Context, id, account string, tokens int) (decidedBy string, err error)
+	// decided, for the log. Rank is quota.Unranked for a request without a prompt.
+	Admit(ctx context.Context, id, account string, tokens, rank int) (decidedBy string, err error)
 }
 
 // Parts is what a relay works with.
--- a/entry/relay/run.go
+++ b/entry/relay/run.go
@@ -14,6 +14,7 @@
 	"papayaport.dev/serving/connection/upstream"
 	"papayaport.dev/serving/process/problem"
 	"papayaport.dev/serving/request/backpressure"
+	"papayaport.dev/serving/request/quota"
 	"papayaport.dev/serving/request/route"
 	"papayaport.dev/serving/version/deployment"
 	"papayaport.dev/serving/version/service"
@@ -136,7 +137,7 @@
 func (r *run) admit(ctx context.Context) error {
 	if r.account != nil && (r.account.TokensPerSecond > 0 || r.account.RequestsPerSecond > 0) {
 		var err error
-		r.limitedBy, err = r.relay.Limiter.Admit(ctx, r.relay.attemptID(r.call), r.account.Name, r.tokens())
+		r.limitedBy, err = r.relay.Limiter.Admit(ctx, r.relay.attemptID(r.call), r.account.Name, r.tokens(), r.limitRank())
 		if err != nil {
 			return err
 		}
@@ -145,6 +146,15 @@
 	return nil
 }
 
+// limitRank is the rank of the request among those of its account, which have one limit: the
+// route's, since the account's own is the same for all of them.
+func (r *run) limitRank() int {
+	if r.call.Prompt == nil {
+		return quota.Unranked
+	}
+	return max(r.route.Priority, 0)
+}
+
 func (r *run) priority() int {
 	if r.account != nil && r.account.Priority != nil {
 		return *r.account.Priority
--- a/entry/site/limits.go
+++ b/entry/site/limits.go
@@ -20,11 +20,11 @@
 
 // Admit charges a request to its account. In a small fleet each entry instance has a part
 // of the limit; in a large one a pool is asked.
-func (s *Site) Admit(ctx context.Context, id, account string, tokens int) (decidedBy string, err error) {
+func (s *Site) Admit(ctx context.Context, id, account string, tokens, rank int) (decidedBy string, err error) {
 	source := "part"
 	if s.entries() >= s.set.Quota.PooledFrom {
 		var holder string
-		holder, err = s.askPools(ctx, account, quota.Amount{Requests: 1, Tokens: float64(tokens)})
+		holder, err = s.askPools(ctx, account, quota.Amount{Requests: 1, Tokens: float64(tokens)}, rank)
 		decidedBy, source = "pool "+holder, "pool"
 		if holder == s.set.Instance {
 			source = "own_pool"
--- a/entry/site/pools.go
+++ b/entry/site/pools.go
@@ -39,6 +39,8 @@
 	Cost    quota.Amount `cbor:"2,keyasint"`
 	// Paid is what the asking instance earned of the limit since it paid last.
 	Paid quota.Amount `cbor:"3,keyasint"`
+	// Urgency is one more than the rank of the request, 0 for a request without a rank.
+	Urgency int `cbor:"4,keyasint,omitempty"`
 }
 
 // poolOrder returns the instances whose pools are asked for an account's requests, the first
@@ -223,12 +225,12 @@
 }
 
 // askPools asks the pools of an account in their order and returns the one that decided.
-func (s *Site) askPools(ctx context.Context, account string, cost quota.Amount) (decidedBy string, err error) {
+func (s *Site) askPools(ctx context.Context, account string, cost quota.Amount, rank int) (decidedBy string, err error) {
 	if err := s.awaitFill(ctx); err != nil {
 		return "", err
 	}
 	for _, holder := range s.pools(account) {
-		ask := grantQuery{Account: account, Cost: cost, Paid: s.quota.Earned(time.Now(), account)}
+		ask := grantQuery{Account: account, Cost: cost, Paid: s.quota.Earned(time.Now(), account), Urgency: rank + 1}
 		if holder.PeerAddress == s.set.AdvertisedPeers {
 			return holder.Instance, s.grant(ask).refusal()
 		}
@@ -268,7 +270,7 @@
 func (s *Site) grant(ask grantQuery) reply {
 	now := time.Now()
 	s.quota.Pay(now, ask.Account, ask.Paid)
-	decision, known := s.quota.Ask(now, ask.Account, ask.Cost)
+	decision, known := s.quota.AskRanked(now, ask.Account, ask.Cost, ask.Urgency-1)
 	switch {
 	case !known:
 		return reply{NotKnown: true} // the configuration here lags or is ahead
--- a/serving/request/quota/ledger.go
+++ b/serving/request/quota/ledger.go
@@ -94,8 +94,8 @@
 	l.level = min(l.level+amount, l.size(entries)*l.share())
 }
 
-// decide tells whether the pool grants an amount.
-func (l *ledger) decide(now time.Time, entries int, amount float64) Decision {
+// decide tells whether the pool grants an amount and keeps a share of its size for others.
+func (l *ledger) decide(now time.Time, entries int, amount, reserved float64) Decision {
 	if !l.limited() {
 		return Decision{Granted: true}
 	}
@@ -105,6 +105,10 @@
 	if share >= wholeShare {
 		need = min(need, l.size(entries)*share)
 	}
+	if reserved > 0 {
+		full := l.size(entries) * share
+		need = min(need+reserved*full, max(need, full))
+	}
 	lack := need - l.level
 	if lack <= 0 {
 		return Decision{Granted: true, Share: share, Level: l.level}
--- a/serving/request/quota/quota.go
+++ b/serving/request/quota/quota.go
@@ -106,7 +106,10 @@
 }
 
 // account is a client account here: one ledger a unit.
-type account struct{ requests, tokens ledger }
+type account struct {
+	requests, tokens ledger
+	reserve          reserve
+}
 
 // New returns a table without accounts.
 func New() *Table { return &Table{accounts: map[string]*account{}} }
@@ -200,19 +203,33 @@
 	if a := t.accounts[name]; a != nil {
 		a.requests.pay(now, t.entries, amount.Requests)
 		a.tokens.pay(now, t.entries, amount.Tokens)
+		a.reserve.pay(amount.Tokens, a.tokens.rate)
 	}
 }
 
-// Ask charges a request to this instance's pool of an account. The second result is false
-// when the account has no limit here that is known.
+// Ask charges a request without a rank to this instance's pool of an account. The second
+// result is false when the account has no limit here that is known.
 func (t *Table) Ask(now time.Time, name string, cost Amount) (Decision, bool) {
+	return t.AskRanked(now, name, cost, Unranked)
+}
+
+// AskRanked charges a request of a rank, 0 the most urgent. While an account asks for more
+// than its limit in tokens, each rank leaves a part of the pool to the more urgent ones.
+func (t *Table) AskRanked(now time.Time, name string, cost Amount, rank int) (Decision, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	a := t.accounts[name]
 	if a == nil {
 		return Decision{}, false
 	}
-	requests, tokens := a.requests.decide(now, t.entries, cost.Requests), a.tokens.decide(now, t.entries, cost.Tokens)
+	a.reserve.ask(now, rank)
+	requests, tokens := a.requests.decide(now, t.entries, cost.Requests, 0), a.tokens.decide(now, t.entries, cost.Tokens, 0)
+	if share := a.reserve.share(now, rank); share > 0 && requests.Granted && tokens.Granted {
+		reserved := a.tokens.decide(now, t.entries, cost.Tokens, share)
+		if !reserved.Granted && !a.reserve.useFloor(cost.Tokens) {
+			tokens = reserved
+		}
+	}
 	decision := tokens
 	if !a.tokens.limited() || requests.RetryAfter > tokens.RetryAfter {
 		decision = requests
@@ -221,6 +238,8 @@
 	if decision.Granted {
 		a.requests.level -= cost.Requests
 		a.tokens.level -= cost.Tokens
+	} else if !tokens.Granted {
+		a.reserve.refusedAt = now
 	}
 	return decision, true
 }
