Extend the interface of the package rollout for waiting attempts, unreadable orders and logs

An attempt that waits longer than the threshold counts as slow, so the book must know when it began. A withdrawn or unreadable order has another revision than the record, so a decision carries the revision that the order's key must have. Sites log from a decision's Step and Finding. Compiles and vets; nothing is decided yet.

--- a/serving/version/rollout/rollout.go
+++ b/serving/version/rollout/rollout.go
@@ -28,6 +28,9 @@
 import "time"
 
 // Order is an operator's order to move a service's traffic to a version.
+//
+// An order that can't be read has no To or no Duration; it is passed on with its Service and
+// Revision, since the key is still there: a missing order counts as withdrawn.
 type Order struct {
 	Service  string        `cbor:"1,keyasint"`
 	To       string        `cbor:"2,keyasint"`
@@ -36,6 +39,9 @@
 	Revision uint64 `cbor:"4,keyasint"`
 }
 
+// Readable tells whether the order names a version and a duration.
+func (o Order) Readable() bool { return o.To != "" && o.Duration > 0 }
+
 // Phase is how far a roll-out is.
 type Phase string
 
@@ -100,6 +106,8 @@
 	// BornMS is when this process started, in milliseconds since 1970.
 	BornMS int64
 	// OldServers counts the backend servers of other versions than the ordered one, by service.
+	// A service that is missing is of unknown size; 0 means that only the ordered version
+	// exists, and lets an order without a record leave it in use.
 	OldServers map[string]int
 }
 
@@ -122,8 +130,18 @@
 	Most int
 }
 
+// Attempt describes an attempt that goes out to a backend server.
+type Attempt struct {
+	Service, Route, Server string
+	Candidate              bool
+	// Estimate is the expected time to the first event or answer.
+	Estimate time.Duration
+}
+
 // Answer is how an attempt ended.
 type Answer struct {
+	// Attempt is the number that Book.Began returned, 0 for an attempt that was not begun there.
+	Attempt                uint64
 	Service, Route, Server string
 	Candidate              bool
 	// Failed tells that the server failed the request; what was not run, and what callers or
@@ -134,7 +152,8 @@
 	FirstRatio, WholeRatio float64
 }
 
-// Report is what an entry instance tells the holder of one roll-out.
+// Report is what an entry instance tells the holder of one roll-out. An instance that does not
+// follow the order yet reports Order 0, so that it is known not to have applied it.
 type Report struct {
 	Service     string `cbor:"1,keyasint"`
 	Order       uint64 `cbor:"2,keyasint"`
@@ -164,7 +183,8 @@
 	Orders  []Order
 	// Records are those that the store holds.
 	Records []Stored
-	// Servers holds the ready servers by service and version.
+	// Servers holds the ready servers by service and version. A version whose servers exist but
+	// are not ready is present with a Count of 0.
 	Servers map[string]map[string]Servers
 	// Reports are the newest of each instance, the holder's own included, and Unheard the
 	// number of live instances that did not report of late.
@@ -172,14 +192,44 @@
 	Unheard int
 }
 
+// Step is what a decision does to a roll-out, for logs.
+type Step string
+
+// Steps of a roll-out. A decision without a step only renews a permit.
+const (
+	StepTrial     Step = "trial"
+	StepShift     Step = "shift"
+	StepCompleted Step = "completed"
+	StepReverted  Step = "reverted"
+	// StepRepeated writes the record and the status of an earlier, equal order again.
+	StepRepeated Step = "repeated"
+	// StepWithdrawn notes that the operator took the order back.
+	StepWithdrawn Step = "withdrawn"
+	// StepEvidence saves the evidence; the phase stays.
+	StepEvidence Step = "evidence"
+	// StepTakeover is the first look at a record that another holder wrote.
+	StepTakeover Step = "takeover"
+	// StepUnreadable is the first look at an order that can't be read.
+	StepUnreadable Step = "unreadable"
+)
+
 // Decision is a record to write with its status, under the condition that the stored record
 // still has a revision and the order is the same. Without Write it is only a permit.
 type Decision struct {
 	Record   Record
 	Revision uint64
-	Write    bool
+	// OrderRevision is the revision that the order's key must have, 0 for a key that must not
+	// exist. It differs from Record.Order when the order was withdrawn or can't be read.
+	OrderRevision uint64
+	Write         bool
 	// Permit tells that instances may go on as the record's phase says.
 	Permit bool
+	// Step tells what is new, and Again that the same step was returned before, because its
+	// write did not succeed. A site logs a line for each decision with a step and without Again.
+	Step  Step
+	Again bool
+	// Finding is what decided the step.
+	Finding Finding
 }
 
 // Outcome is what became of a write.
