Join roll-outs to the entry instance: versions of servers, orders, records, picks

Requests went to any version of a service's backend servers alike, so a new version got its share of the traffic as soon as its servers were listed.

Versions travel from the store's entries into the routing table, and requests bound them (Only, Not, Most). The site takes both into the gate, the book and the decider of the package rollout, brings permits to the peers and gathers their reports, and keeps numbers of servers from falling meanwhile. The relay asks for versions before each choice and tells how attempts ended.

With the check of versions or the look at leaving servers removed, the tests of route fail.

--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -34,6 +34,7 @@
 	"papayaport.dev/serving/request/budget"
 	"papayaport.dev/serving/request/route"
 	"papayaport.dev/serving/version/deployment"
+	"papayaport.dev/serving/version/rollout"
 )
 
 // Codec translates between a dialect of callers and backend servers and the product.
@@ -148,6 +149,28 @@
 	Admitted(at time.Time, service string, tokens int)
 }
 
+// Picks decides which versions of a service's backend servers attempts may use, while the
+// service moves to another version.
+type Picks interface {
+	// Pick returns the versions that the next attempt may use. Repeat tells that the request
+	// failed at the candidate, or that no server of the pick's version takes it.
+	Pick(service, route string, repeat bool) rollout.Pick
+	// Sent counts an attempt for which a server was chosen.
+	Sent(service, route string, candidate bool)
+	// IsCandidate tells whether a version is the one that a service moves to.
+	IsCandidate(service, version string) bool
+}
+
+// Outcomes is told how attempts ended, by the number that Began returned. It is 0 for a
+// service without a roll-out, and nothing more is told of that attempt.
+type Outcomes interface {
+	Began(attempt rollout.Attempt) uint64
+	First(attempt uint64)
+	Dropped(attempt uint64)
+	// Answered tells the end of an attempt; kind names a failure.
+	Answered(answer rollout.Answer, kind string)
+}
+
 // Limiter keeps the limits of client accounts over all entry instances.
 type Limiter interface {
 	// Admit charges a request to its account, or returns a *problem.Error. It tells who
@@ -169,6 +192,9 @@
 	Usage  Usage
 	Codec  Codec
 	Meters *Meters
+	// Picks and Outcomes may be nil: all versions are used alike then.
+	Picks    Picks
+	Outcomes Outcomes
 	// Entries returns the number of entry instances.
 	Entries func() int
 	// Draw returns random numbers in [0, 1).
@@ -198,7 +224,15 @@
 )
 
 // New returns a relay.
-func New(parts Parts) *Relay { return &Relay{Parts: parts} }
+func New(parts Parts) *Relay {
+	if parts.Picks == nil {
+		parts.Picks = anyVersion{}
+	}
+	if parts.Outcomes == nil {
+		parts.Outcomes = untold{}
+	}
+	return &Relay{Parts: parts}
+}
 
 // leaving is a planned stop: from settled on no streams are taken, and at the end all
 // requests are answered.
--- a/entry/relay/run.go
+++ b/entry/relay/run.go
@@ -63,6 +63,8 @@
 	attempts int
 	unsent   int
 	excluded []string
+	// failedAtCandidate tells that a repeat goes to the old version of its service.
+	failedAtCandidate bool
 	// share is the memory that the present answer takes.
 	share *room.Share
 	// mayHaveRun tells that an attempt was sent and not refused.
@@ -199,22 +201,28 @@
 	response *upstream.Response
 	answer   Answer
 	cancel   context.CancelCauseFunc
+	// onTrial tells that it counts towards the exposure to a version that is not trusted yet.
+	onTrial bool
+	// declined tells that the server answered whole that it won't do the request, which is no
+	// failure of its version.
+	declined bool
+	tale     tale
 }
 
 // send makes one attempt up to the head of its answer. The attempt is settled by settle.
 func (r *run) send(ctx context.Context, lastEvent string) (*attempt, error) {
 	relay := r.relay
 	request := r.routeRequest()
-	choice, err := relay.Routes.Choose(time.Now(), request)
+	a, err := r.choose(&request)
 	if err != nil {
 		return nil, err
 	}
-	ctx, cancel := context.WithCancelCause(ctx)
-	a := &attempt{id: relay.attemptID(r.call), choice: choice, cancel: cancel}
+	choice := a.choice
+	ctx, a.cancel = context.WithCancelCause(ctx)
 	r.backend = choice.Backend.ID
 	relay.Routes.Sent(time.Now(), a.id, choice, request)
 	var sentAt time.Time
-	silence := r.watchSilence(cancel, r.attempts+1)
+	silence := r.watchSilence(a, r.attempts+1)
 	silence.Reset(r.silence(choice))
 	defer silence.Stop()
 	header := relay.Codec.Attempt(r.call, Attempt{
@@ -225,7 +233,11 @@
 		ID: r.call.ID, Method: r.call.Method, Target: r.call.Target, Host: r.call.Host, Header: header, Body: r.call.Body,
 		MayGo: func() bool {
 			sentAt = time.Now()
-			return relay.Routes.MayGo(sentAt, choice)
+			if !relay.Routes.MayGo(sentAt, choice) {
+				return false
+			}
+			a.tale.began(sentAt)
+			return true
 		},
 	})
 	if err != nil {
@@ -237,37 +249,15 @@
 	if !a.answer.Elsewhere && (a.answer.Valid || a.answer.NotRun) {
 		relay.Servers.Asked(sentAt, choice.Backend, a.answer.Asked)
 	}
+	if r.route.Kind != deployment.Streaming && !a.answer.NotRun {
+		a.tale.first()
+	}
 	relay.odd.note(relay.Log, choice.Backend.ID, "a field that is not known", a.answer.Unknown)
 	relay.odd.note(relay.Log, choice.Backend.ID, "a field that can't be read", a.answer.Unreadable)
 	r.noteAnswer(a)
 	return a, nil
 }
 
-// silence returns how long an attempt may stay without an answer before it is repeated
-// elsewhere.
-func (r *run) silence(choice route.Choice) time.Duration {
-	return max(silenceTargets*r.route.Target, silenceEstimates*choice.FirstToken, shortestSilence)
-}
-
-// watchSilence gives an attempt up when its timer ends, if another one may follow it. One
-// that can't be repeated keeps its place at the server to the end: in an overload the
-// budget is spent, and giving up would only lose the answer.
-func (r *run) watchSilence(cancel context.CancelCauseFunc, sent int) *time.Timer {
-	var timer *time.Timer
-	timer = time.AfterFunc(time.Hour, func() {
-		if !r.route.MayRepeat() || sent >= r.route.MaxAttempts {
-			return
-		}
-		if !r.relay.Budget.Take(time.Now(), r.service) {
-			timer.Reset(budgetPeriod)
-			return
-		}
-		r.reserved.Store(true)
-		cancel(errSilent)
-	})
-	return timer
-}
-
 // noteFailure counts an attempt that got no answer.
 func (r *run) noteFailure(a *attempt, err error) {
 	if errors.Is(err, upstream.ErrWithheld) {
@@ -286,6 +276,9 @@
 		result = route.Wrong
 	}
 	r.relay.Meters.noteEndless(r.service, err)
+	if !sent {
+		a.tale.drop()
+	}
 	r.settle(a, result)
 	r.excluded = append(r.excluded, a.choice.Backend.ID)
 	if !sent {
@@ -332,7 +325,13 @@
 
 // settle ends an attempt.
 func (r *run) settle(a *attempt, result route.Result) {
-	r.relay.Routes.Done(time.Now(), a.id, result, 0)
+	now := time.Now()
+	r.relay.Routes.Done(now, a.id, result, 0)
+	if a.declined {
+		result = route.OK
+	}
+	r.noteCandidate(a, result)
+	a.tale.end(now, result, r.events-a.tale.events)
 	if a.response != nil {
 		a.response.Close()
 	}
--- a/entry/relay/stream.go
+++ b/entry/relay/stream.go
@@ -89,6 +89,7 @@
 func (r *run) streamFailure(ctx context.Context, a *attempt, out *stream) error {
 	body, err := r.share.ReadAll(ctx, a.response.Body, a.response.Length, maxAnswerBytes)
 	status := a.response.Status
+	a.declined = err == nil && status < http.StatusInternalServerError
 	r.settle(a, route.Failed)
 	r.relay.Meters.noteEndless(r.service, err)
 	r.excluded = append(r.excluded, a.choice.Backend.ID)
@@ -107,7 +108,7 @@
 // forward copies whole events to the caller as they arrive.
 func (r *run) forward(ctx context.Context, a *attempt, out *stream) error {
 	reader := event.New(a.response.Body, r.share)
-	watch := r.watchSilence(a.cancel, r.attempts)
+	watch := r.watchSilence(a, r.attempts)
 	defer watch.Stop()
 	for first := true; ; first = false {
 		watch.Reset(r.gap(a, first))
@@ -128,6 +129,7 @@
 		r.progress = now
 		if first {
 			r.began()
+			a.tale.first()
 			r.relay.Routes.FirstToken(now, a.id, 0)
 		} else {
 			r.relay.Routes.Token(now, a.id)
--- a/entry/site/backends.go
+++ b/entry/site/backends.go
@@ -32,7 +32,7 @@
 		backends[i] = route.Backend{
 			ID: server.ID, Incarnation: server.Incarnation, Service: server.Service, Address: server.Address,
 			Region: s.set.Region, FailureDomain: server.FailureDomain, Reclaimable: server.Reclaimable,
-			PricePerHour: evenPrice, Slots: server.Slots,
+			PricePerHour: evenPrice, Slots: server.Slots, Version: server.Version,
 		}
 		if engine := s.engineOf(server.Service); engine != nil {
 			backends[i].PrefillPerSec, backends[i].DecodeMS, backends[i].CacheTokens = prefillPerSecond, decodeMS, engine.CacheTokens
@@ -85,7 +85,7 @@
 		log.WithFields(logrus.Fields{
 			"backend": server.ID, "incarnation": server.Incarnation, "service": server.Service,
 			"failure_domain": server.FailureDomain, "leaving": server.Leaving, "reclaimable": server.Reclaimable,
-			"address": server.Address,
+			"address": server.Address, "version": server.Version,
 		}).Info("directory: backend server listed")
 	}
 	for id := range known {
--- a/entry/site/duties.go
+++ b/entry/site/duties.go
@@ -55,6 +55,7 @@
 			s.part("duties").WithField("fencing", fencing).Info("duties: taken over")
 			d = duty{fencing: fencing}
 			s.planner.Forget()
+			s.ordered = map[orderedKind]orderedCount{}
 		}
 		// Orders come first: several windows may be due, and each report takes a call.
 		s.orderServers(ctx, d.fencing)
--- a/entry/site/orders.go
+++ b/entry/site/orders.go
@@ -26,7 +26,9 @@
 			if !s.stillHolds(fencing) {
 				return
 			}
-			s.order(ctx, fencing, order, in)
+			if order, due := s.withoutFall(time.Now(), order, in); due {
+				s.order(ctx, fencing, order, in)
+			}
 		}
 	}
 }
@@ -36,6 +38,9 @@
 	defer cancel()
 	err := s.platform.Duties.Order(ctx, s.duty(fencing), order)
 	s.planner.Ordered(time.Now(), order, err == nil)
+	if err == nil {
+		s.noteOrdered(time.Now(), order)
+	}
 	log := s.part("duties").WithFields(logrus.Fields{
 		"service": order.Service, "failure_domain": order.FailureDomain, "reclaimable": order.Reclaimable,
 		"count": order.Count, "in_flight": in.InFlight, "prefill_per_second": int(in.PrefillPerSecond),
@@ -56,7 +61,7 @@
 		in.Live[domain] = sizing.Count{}
 	}
 	for _, server := range s.backends() {
-		if server.Service != svc.Name || server.Leaving {
+		if server.Service != svc.Name || server.Leaving || s.rollouts.isUnused(server.Service, server.Version) {
 			continue
 		}
 		count := in.Live[server.FailureDomain]
--- a/entry/site/query.go
+++ b/entry/site/query.go
@@ -10,6 +10,7 @@
 
 	"papayaport.dev/serving/request/admission"
 	"papayaport.dev/serving/request/quota"
+	"papayaport.dev/serving/version/rollout"
 )
 
 // unreachedFor is how long a peer that did not answer is passed over by those that have
@@ -28,6 +29,8 @@
 	Grant *grantQuery `cbor:"5,keyasint,omitempty"`
 	// Pay pays into pools, by account.
 	Pay map[string]quota.Amount `cbor:"6,keyasint,omitempty"`
+	// Rollouts brings permits and asks for reports. Number 7 is taken.
+	Rollouts *rolloutQuery `cbor:"8,keyasint,omitempty"`
 }
 
 // reply is the answer.
@@ -46,6 +49,8 @@
 	View     *viewReply `cbor:"7,keyasint,omitempty"`
 	// Granted tells that a pool granted the request.
 	Granted bool `cbor:"8,keyasint,omitempty"`
+	// Rollouts holds the reports on roll-outs. Number 9 is taken.
+	Rollouts []rollout.Report `cbor:"10,keyasint,omitempty"`
 }
 
 // askPeer asks the entry instance at an address.
@@ -79,6 +84,8 @@
 	case question.Roll:
 		own := h.s.ownRoll(time.Now())
 		answered.Roll = &own
+	case question.Rollouts != nil:
+		answered.Rollouts = h.s.answerRollouts(*question.Rollouts)
 	case question.View != nil:
 		answered.View = h.s.answerView(*question.View)
 	default:
--- /dev/null
+++ b/entry/site/rollout_picks.go
@@ -0,0 +1,56 @@
+package site
+
+import (
+	"fmt"
+	"time"
+
+	"papayaport.dev/serving/process/clock"
+	"papayaport.dev/serving/version/rollout"
+)
+
+// Pick returns the versions that an attempt may use.
+func (r *rollouts) Pick(service, route string, repeat bool) rollout.Pick {
+	return r.gate.Pick(clock.Boot(), service, route, repeat)
+}
+
+// Sent counts an attempt for which a backend server was chosen.
+func (r *rollouts) Sent(service, route string, candidate bool) {
+	r.gate.Sent(clock.Boot(), service, route, candidate)
+}
+
+// IsCandidate tells whether a version is the candidate of a service's roll-out in progress.
+func (r *rollouts) IsCandidate(service, version string) bool {
+	return r.gate.IsCandidate(service, version)
+}
+
+// Began notes an attempt that goes out, and returns its number, 0 without a roll-out.
+func (r *rollouts) Began(attempt rollout.Attempt) uint64 {
+	number := r.book.Began(time.Now(), attempt)
+	if number != 0 {
+		r.meters.GetOrCreateCounter(fmt.Sprintf("papayaport_rollout_requests_total{service=%q,cohort=%q}",
+			attempt.Service, cohort(attempt.Candidate))).Inc()
+	}
+	return number
+}
+
+// First notes the first event of an attempt.
+func (r *rollouts) First(attempt uint64) { r.book.First(time.Now(), attempt) }
+
+// Dropped notes an attempt that ended without telling anything of its server.
+func (r *rollouts) Dropped(attempt uint64) { r.book.Dropped(attempt) }
+
+// Answered counts an attempt that ended; kind names a failure.
+func (r *rollouts) Answered(answer rollout.Answer, kind string) {
+	r.book.Answered(answer)
+	if answer.Failed {
+		r.meters.GetOrCreateCounter(fmt.Sprintf("papayaport_rollout_bad_total{service=%q,cohort=%q,kind=%q}",
+			answer.Service, cohort(answer.Candidate), kind)).Inc()
+	}
+}
+
+func cohort(candidate bool) string {
+	if candidate {
+		return "candidate"
+	}
+	return "old"
+}
--- /dev/null
+++ b/entry/site/rollout_sizing.go
@@ -0,0 +1,110 @@
+package site
+
+import (
+	"slices"
+	"time"
+
+	"papayaport.dev/serving/process/sizing"
+	"papayaport.dev/serving/version/rollout"
+)
+
+// repeatLifted is the time between two orders of a number that a roll-out keeps from falling:
+// with it missing servers are ordered again, and not with each look.
+const repeatLifted = 5 * time.Second
+
+// orderedKind names the servers that one order counts.
+type orderedKind struct {
+	service, domain string
+	reclaimable     bool
+}
+
+// orderedCount is the last order for a kind.
+type orderedCount struct {
+	count int
+	at    time.Time
+}
+
+// isUnused tells whether servers of a version take no requests, or those of a trial only, so
+// that they do not carry load.
+func (r *rollouts) isUnused(service, version string) bool {
+	if r == nil {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	record := r.records[service].Record
+	for _, order := range r.orders {
+		isNew := order.Service == service && order.Revision != record.Order && order.Readable()
+		if isNew && order.To == version && !(record.Phase == rollout.Completed && record.To == version) {
+			return true // its trial has not begun
+		}
+	}
+	switch {
+	case slices.Contains(record.Barred, version):
+		return true
+	case record.Phase == rollout.Completed:
+		return slices.Contains(record.From, version)
+	case record.Phase == rollout.Trial, record.Phase == rollout.Reverted:
+		return version == record.To
+	}
+	return false
+}
+
+// inProgress tells whether a service has a roll-out that is still to be decided.
+func (r *rollouts) inProgress(service string) bool {
+	if r == nil {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Contains(r.openServices(), service)
+}
+
+// openServices returns the services whose roll-out is still to be decided; mu is held.
+func (r *rollouts) openServices() []string {
+	var open []string
+	for service, known := range r.records {
+		if known.Phase.InProgress() {
+			open = append(open, service)
+		}
+	}
+	for _, order := range r.orders {
+		if order.Readable() && order.Revision != r.records[order.Service].Order {
+			open = append(open, order.Service)
+		}
+	}
+	slices.Sort(open)
+	return slices.Compact(open)
+}
+
+// noteOrdered remembers an order that was accepted.
+func (s *Site) noteOrdered(now time.Time, order sizing.Order) {
+	if s.ordered == nil {
+		s.ordered = map[orderedKind]orderedCount{}
+	}
+	s.ordered[kindOf(order)] = orderedCount{count: order.Count, at: now}
+}
+
+func kindOf(order sizing.Order) orderedKind {
+	return orderedKind{order.Service, order.FailureDomain, order.Reclaimable}
+}
+
+// withoutFall keeps the number of servers from falling while a roll-out of their service is in
+// progress: old servers are needed until the last one has no requests any more. It tells
+// whether anything is to be ordered.
+func (s *Site) withoutFall(now time.Time, order sizing.Order, in sizing.Input) (sizing.Order, bool) {
+	if !s.rollouts.inProgress(order.Service) {
+		return order, true
+	}
+	live := in.Live[order.FailureDomain].OnDemand
+	if order.Reclaimable {
+		live = in.Live[order.FailureDomain].Reclaimable
+	}
+	last := s.ordered[kindOf(order)]
+	floor := max(live, last.count)
+	if order.Count >= floor {
+		return order, true
+	}
+	order.Count = floor
+	return order, live < floor && now.Sub(last.at) >= repeatLifted
+}
--- /dev/null
+++ b/entry/site/rollouts.go
@@ -0,0 +1,309 @@
+package site
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"papayaport.dev/serving/process/clock"
+	"papayaport.dev/serving/process/directory"
+	"papayaport.dev/serving/process/platform"
+	"papayaport.dev/serving/version/rollout"
+)
+
+// rolloutsPrefix holds a record of each service's roll-out.
+const rolloutsPrefix = "papayaport/rollouts/"
+
+// heldRollouts is what a view of the store holds of roll-outs.
+type heldRollouts struct {
+	Orders  []rollout.Order  `cbor:"1,keyasint,omitempty"`
+	Records []platform.Entry `cbor:"2,keyasint,omitempty"`
+}
+
+// rolloutsOf returns the roll-outs of a view.
+func rolloutsOf(view View) heldRollouts {
+	held := heldRollouts{Orders: view.Orders}
+	for _, entry := range view.Own {
+		if strings.HasPrefix(entry.Key, rolloutsPrefix) {
+			held.Records = append(held.Records, entry)
+		}
+	}
+	return held
+}
+
+// rollouts is this instance's part in roll-outs. It decides for the relay which versions
+// attempts may use, and keeps what the holder of the duties decides on.
+//
+// mu is held for short steps, and while the gate and the book are told of a state, so that
+// an older one never follows a newer one. Those two call nothing while they are locked. No
+// other lock is taken under mu.
+type rollouts struct {
+	gate    *rollout.Gate
+	book    *rollout.Book
+	decider *rollout.Decider
+	meters  *metrics.Set
+
+	mu      sync.Mutex
+	orders  []rollout.Order
+	records map[string]knownRecord
+	applied map[string]appliedPhase
+	// fencing is the highest fencing number of a holder that told permits.
+	fencing uint64
+
+	// What follows is filled while this instance holds the duties.
+
+	// reports holds the last word of each instance, by service and instance.
+	reports map[string]map[string]heardReport
+	// permits are those of the last decision, and decidedAt is its time by clock.Boot.
+	permits   []rollout.Permit
+	decidedAt time.Time
+	// unread holds services whose record must be read before the next write.
+	unread map[string]bool
+	// asked holds the addresses of peers with a question that is not answered yet.
+	asked map[string]bool
+	turn  int
+	// seen holds the revisions of orders that were logged, by service.
+	seen map[string]uint64
+}
+
+// knownRecord is the newest known record of a service.
+type knownRecord struct {
+	rollout.Stored
+	// at is when the store held it, by clock.Boot.
+	at time.Time
+	// unreadable tells that the record can't be decoded.
+	unreadable bool
+}
+
+// appliedPhase is the phase that picks follow, as it was logged last.
+type appliedPhase struct {
+	order uint64
+	phase rollout.Phase
+	// hadPermit tells that a permit was fresh at the last look.
+	hadPermit bool
+}
+
+func newRollouts(limits rollout.Limits, meters *metrics.Set) *rollouts {
+	return &rollouts{
+		gate: rollout.NewGate(limits), book: rollout.NewBook(), decider: rollout.NewDecider(limits), meters: meters,
+		records: map[string]knownRecord{}, applied: map[string]appliedPhase{}, reports: map[string]map[string]heardReport{},
+		unread: map[string]bool{}, asked: map[string]bool{}, seen: map[string]uint64{},
+	}
+}
+
+// takeRollouts takes in the roll-outs of a view that the store held at a moment.
+func (s *Site) takeRollouts(at time.Time, held heldRollouts, servers []directory.Server) {
+	if s.rollouts == nil {
+		s.ignoreOrders(held.Orders)
+		return
+	}
+	log := s.part("rollout")
+	s.rollouts.setOrders(held.Orders)
+	s.rollouts.setRecords(log, at, held.Records)
+	s.applyRollouts(servers)
+}
+
+// ignoreOrders logs each order once where the settings have no bounds for it.
+func (s *Site) ignoreOrders(orders []rollout.Order) {
+	for _, order := range orders {
+		if s.ignored[order.Service] == order.Revision {
+			continue
+		}
+		s.ignored[order.Service] = order.Revision
+		s.part("rollout").WithFields(logrus.Fields{"service": order.Service, "to": order.To, "order": order.Revision}).
+			Warn("rollout: order ignored, the settings have no bounds")
+	}
+}
+
+func (r *rollouts) setOrders(orders []rollout.Order) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.orders = orders
+}
+
+// setRecords takes in the records of a view. What this instance wrote or read itself after
+// the view was read stays.
+func (r *rollouts) setRecords(log *logrus.Entry, at time.Time, entries []platform.Entry) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	present := map[string]bool{}
+	for _, entry := range entries {
+		service := entry.Key[len(rolloutsPrefix):]
+		present[service] = true
+		r.setRecord(log, at, service, entry)
+	}
+	for service, known := range r.records {
+		if !present[service] && at.After(known.at) {
+			delete(r.records, service)
+		}
+	}
+}
+
+// setRecord takes in one record; mu is held.
+func (r *rollouts) setRecord(log *logrus.Entry, at time.Time, service string, entry platform.Entry) {
+	known, found := r.records[service]
+	if found && entry.Revision <= known.Revision {
+		if entry.Revision == known.Revision && at.After(known.at) {
+			known.at = at
+			r.records[service] = known
+		}
+		return
+	}
+	record, err := decodeRollout(service, entry.Value)
+	if err != nil {
+		// Its revision is kept, so that the line is written once.
+		log.WithError(err).WithFields(logrus.Fields{"service": service, "revision": entry.Revision}).Error("rollout: record unreadable")
+		known.unreadable = true
+	} else {
+		known.Record, known.unreadable = record, false
+	}
+	known.Revision, known.at = entry.Revision, at
+	r.records[service] = known
+}
+
+func decodeRollout(service string, value []byte) (rollout.Record, error) {
+	var record rollout.Record
+	if err := json.Unmarshal(value, &record); err != nil {
+		return record, errors.Wrap(err, "decode record")
+	}
+	if record.Service != service || record.Phase == "" {
+		return record, errors.Errorf("record of service %q in phase %q", record.Service, record.Phase)
+	}
+	return record, nil
+}
+
+// stored returns the newest known records; mu is held.
+func (r *rollouts) stored() []rollout.Stored {
+	var all []rollout.Stored
+	for _, known := range r.records {
+		if known.Service != "" {
+			all = append(all, known.Stored)
+		}
+	}
+	slices.SortFunc(all, func(a, b rollout.Stored) int { return strings.Compare(a.Service, b.Service) })
+	return all
+}
+
+// applyRollouts tells the gate and the book what is known, and logs phases that are new here.
+func (s *Site) applyRollouts(servers []directory.Server) {
+	r := s.rollouts
+	entries := s.entries()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	state := rollout.State{Orders: r.orders, Entries: entries, BornMS: s.started.UnixMilli()}
+	for _, stored := range r.stored() {
+		state.Records = append(state.Records, stored.Record)
+	}
+	state.OldServers = r.oldServers(servers)
+	r.gate.SetState(clock.Boot(), state)
+	for _, service := range r.services() {
+		order, phase := r.gate.Applied(service)
+		followed := order
+		if !phase.InProgress() {
+			followed = 0
+		}
+		r.book.Follow(service, followed)
+		s.noteApplied(service, order, phase)
+	}
+}
+
+// services returns the services with an order or a record; mu is held.
+func (r *rollouts) services() []string {
+	var names []string
+	for _, order := range r.orders {
+		names = append(names, order.Service)
+	}
+	for service := range r.records {
+		names = append(names, service)
+	}
+	for service := range r.applied {
+		names = append(names, service)
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
+// oldServers counts the servers that serve besides the ordered version, by service; mu is
+// held. Leaving ones count: an old version that is there at all bars the use of a new one
+// without a trial.
+func (r *rollouts) oldServers(servers []directory.Server) map[string]int {
+	count := map[string]int{}
+	for _, server := range servers {
+		to, record := r.target(server.Service), r.records[server.Service]
+		if to == "" {
+			continue
+		}
+		count[server.Service] += 0
+		if server.Version != to && !slices.Contains(record.Barred, server.Version) {
+			count[server.Service]++
+		}
+	}
+	return count
+}
+
+// target returns the version that the newest order of a service names, empty without one; mu
+// is held.
+func (r *rollouts) target(service string) string {
+	for _, order := range r.orders {
+		if order.Service == service && order.Readable() {
+			return order.To
+		}
+	}
+	return r.records[service].To
+}
+
+// noteApplied logs a phase that picks follow from now on; rollouts.mu is held.
+func (s *Site) noteApplied(service string, order uint64, phase rollout.Phase) {
+	r := s.rollouts
+	last := r.applied[service]
+	if last.order == order && last.phase == phase {
+		return
+	}
+	r.applied[service] = appliedPhase{order: order, phase: phase}
+	record := r.records[service].Record
+	s.part("rollout").WithFields(logrus.Fields{
+		"service": service, "order": order, "phase": phase, "to": record.To, "barred": record.Barred, "reason": record.Reason,
+	}).Info("rollout: phase applied")
+	for _, one := range []rollout.Phase{rollout.Trial, rollout.Shift, rollout.Completed, rollout.Reverted} {
+		value := 0.0
+		if one == phase {
+			value = 1
+		}
+		r.meters.GetOrCreateGauge(fmt.Sprintf("papayaport_rollout_phase{service=%q,phase=%q}", service, one), nil).Set(value)
+	}
+	r.meters.GetOrCreateGauge(fmt.Sprintf("papayaport_rollout_permit_age_seconds{service=%q}", service), func() float64 {
+		age, _ := r.gate.PermitAge(clock.Boot(), service)
+		return age.Seconds()
+	})
+}
+
+// watchPermits logs permits that expire in a trial.
+func (s *Site) watchPermits() {
+	r, now := s.rollouts, clock.Boot()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for service, applied := range r.applied {
+		age, fresh := r.gate.PermitAge(now, service)
+		if applied.hadPermit && !fresh && applied.phase == rollout.Trial {
+			s.part("rollout").WithFields(logrus.Fields{"service": service, "order": applied.order, "age_ms": age.Milliseconds()}).
+				Warn("rollout: permit expired, the old version serves")
+		}
+		applied.hadPermit = fresh
+		r.applied[service] = applied
+	}
+}
+
+// checkRollback warns of bounds that a trial may not keep.
+func (s *Site) checkRollback() {
+	if limits := s.set.Rollout.limits(); limits.Rollback < shortestRollback {
+		s.part("rollout").WithFields(logrus.Fields{"rollback_ms": limits.Rollback.Milliseconds(), "least_ms": shortestRollback.Milliseconds()}).
+			Warn("rollout: rollback_ms is shorter than what a trial needs to end")
+	}
+}
--- a/entry/site/settings.go
+++ b/entry/site/settings.go
@@ -11,6 +11,7 @@
 
 	"papayaport.dev/serving/request/quota"
 	"papayaport.dev/serving/request/route"
+	"papayaport.dev/serving/version/rollout"
 )
 
 // Settings is what an entry instance of a site learns at its start.
@@ -50,6 +51,9 @@
 	Usage UsageSettings `json:"usage"`
 	Quota QuotaSettings `json:"quota"`
 
+	// Rollout bounds the exposure to new versions. Without it orders to roll one out are ignored.
+	Rollout *RolloutSettings `json:"rollout,omitempty"`
+
 	// RelayedFrom is the number of entry instances from which on a few of each failure
 	// domain read the store and the others ask them.
 	RelayedFrom int `json:"relayed_from"`
@@ -123,6 +127,37 @@
 	WindowS float64 `json:"window_s"`
 }
 
+// RolloutSettings bounds the requests that a version of backend servers gets before it is
+// trusted, over all entry instances.
+type RolloutSettings struct {
+	// ExposureShare is the share of a service's requests between an order and its deadline
+	// that a bad version may get, and ExposureSlack the number of requests on top.
+	ExposureShare float64 `json:"exposure_share"`
+	ExposureSlack float64 `json:"exposure_slack"`
+	// RollbackMS is the time in milliseconds after which a version that has shown itself bad
+	// gets nothing.
+	RollbackMS float64 `json:"rollback_ms"`
+}
+
+func (r *RolloutSettings) limits() rollout.Limits {
+	return rollout.Limits{
+		ExposureShare: r.ExposureShare, ExposureSlack: r.ExposureSlack,
+		Rollback: time.Duration(r.RollbackMS * float64(time.Millisecond)),
+	}
+}
+
+func (r *RolloutSettings) addFaults(add func(field string, value any, allowed string)) {
+	if r.ExposureShare <= 0 || r.ExposureShare > 1 {
+		add("rollout.exposure_share", r.ExposureShare, "a number above 0 and up to 1")
+	}
+	if r.ExposureSlack < 0 {
+		add("rollout.exposure_slack", r.ExposureSlack, "a number from 0")
+	}
+	if r.RollbackMS <= 0 {
+		add("rollout.rollback_ms", r.RollbackMS, "a number above 0")
+	}
+}
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 func milliseconds(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
@@ -169,6 +204,9 @@
 	if s.Retry.Ratio < 0 || s.Retry.Allowance < 0 {
 		add("retry", s.Retry, "numbers from 0")
 	}
+	if s.Rollout != nil {
+		s.Rollout.addFaults(add)
+	}
 	if _, err := logrus.ParseLevel(s.LogLevel); err != nil {
 		add("log_level", s.LogLevel, "debug, info, warning or error")
 	}
--- a/entry/site/settings_test.go
+++ b/entry/site/settings_test.go
@@ -20,6 +20,14 @@
 		"good":          {goodSettings + "}", nil},
 		"unknown field": {goodSettings + `, "speed": 3}`, []string{"speed"}},
 		"wrong level":   {goodSettings + `, "log_level": "loud"}`, []string{"log_level"}},
+		"roll-outs":     {goodSettings + `, "rollout": {"exposure_share": 0.1, "exposure_slack": 50, "rollback_ms": 5000}}`, nil},
+		"empty bounds of roll-outs": {
+			goodSettings + `, "rollout": {}}`, []string{"rollout.exposure_share", "rollout.rollback_ms"},
+		},
+		"wrong bounds of roll-outs": {
+			goodSettings + `, "rollout": {"exposure_share": 1.1, "exposure_slack": -1, "rollback_ms": -5}}`,
+			[]string{"rollout.exposure_share", "rollout.exposure_slack", "rollout.rollback_ms"},
+		},
 		"all at once": {
 			`{"instance": "", "callers": "here", "log_level": "loud"}`,
 			[]string{"instance", "callers", "log_level", "memory_mb", "usage.window_s"},
--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -43,6 +43,7 @@
 	"papayaport.dev/serving/request/quota"
 	"papayaport.dev/serving/request/route"
 	"papayaport.dev/serving/version/deployment"
+	"papayaport.dev/serving/version/rollout"
 )
 
 // Store keeps what must outlast a process. Errors are those of the package store.
@@ -65,6 +66,8 @@
 	Own []platform.Entry
 	// Leases names the leases that some instance holds.
 	Leases []string
+	// Orders are the operators' orders to roll a version out. One that can't be read has no To.
+	Orders []rollout.Order
 }
 
 // Viewer reads the whole of the platform's store. One read a look serves everything that
@@ -90,6 +93,27 @@
 	Order(ctx context.Context, duty Duty, order sizing.Order) error
 }
 
+// RolloutWrite is a record of a roll-out that is written together with its service's status.
+type RolloutWrite struct {
+	Service string
+	// Key and Record are the record's key and value, and Revision is what the key must have
+	// for the write, 0 for none.
+	Key      string
+	Record   []byte
+	Revision uint64
+	// OrderRevision is what the order's key must have, 0 when it must not exist.
+	OrderRevision uint64
+	// Phase and To are the status.
+	Phase rollout.Phase
+	To    string
+}
+
+// Rollouts writes what becomes of the operators' orders. Errors are those of the package
+// store.
+type Rollouts interface {
+	WriteRollout(ctx context.Context, write RolloutWrite) (platform.Entry, error)
+}
+
 // ErrNoneAvailable tells that the platform has no backend server of the wanted kind now.
 var ErrNoneAvailable = errors.New("no backend servers available")
 
@@ -98,7 +122,9 @@
 	Store  Store
 	Viewer Viewer
 	Duties Duties
-	Codec  relay.Codec
+	// Rollouts may be nil where the settings have no bounds of roll-outs.
+	Rollouts Rollouts
+	Codec    relay.Codec
 	// EchoHeader is the header in which backend servers repeat a request's id.
 	EchoHeader string
 }
@@ -153,9 +179,16 @@
 	view atomic.Pointer[heldView]
 	// rolls holds what the other instances told of their load, and told their counts; both
 	// are filled while this instance holds the duties.
-	rolls     rolls
-	told      *usage.Heard
-	intake    *sizing.Intake
+	rolls  rolls
+	told   *usage.Heard
+	intake *sizing.Intake
+	// rollouts is nil where the settings have no bounds of roll-outs.
+	rollouts *rollouts
+	// ignored holds the revisions of orders that were logged as ignored, by service. Both it
+	// and ordered are of one loop each.
+	ignored map[string]uint64
+	// ordered holds the numbers of servers that this holder of the duties ordered last.
+	ordered   map[orderedKind]orderedCount
 	debts     debtors
 	unreached unreached
 	// poolOrders holds the pools of each client account in the order in which they are asked,
@@ -172,7 +205,7 @@
 
 // New joins the parts of an entry instance. Nothing runs yet.
 func New(set Settings, p Platform, log *logrus.Logger, lines Lines) (*Site, error) {
-	s := &Site{set: set, platform: p, log: log, lines: lines, started: time.Now(), meters: metrics.NewSet(), listed: 1, planner: sizing.New(), intake: sizing.NewIntake(), filled: make(chan struct{})}
+	s := &Site{set: set, platform: p, log: log, lines: lines, started: time.Now(), meters: metrics.NewSet(), listed: 1, planner: sizing.New(), intake: sizing.NewIntake(), filled: make(chan struct{}), ignored: map[string]uint64{}}
 	random := rand.New(rand.NewPCG(uint64(s.started.UnixNano()), 1))
 	seeded := func() *rand.Rand { return rand.New(rand.NewPCG(random.Uint64(), random.Uint64())) }
 	var err error
@@ -197,11 +230,17 @@
 	})
 	s.leases = lease.New(lapsing{p.Store}, set.Instance+"/"+formatIncarnation(s.incarnation()), s.wantedLeases, s.leaseRank,
 		s.leaseTTL(), clock.Boot, seeded())
-	s.relay = relay.New(relay.Parts{
+	parts := relay.Parts{
 		Versions: &s.keeper, Routes: s.routes, Limiter: s, Intake: s.intake, Servers: s, Budget: s.budget, Pool: s.pool, Usage: s,
 		Room:  room.New(int64(set.MemoryMB) << 20 / answerShare),
 		Codec: p.Codec, Meters: relay.NewMeters(s.meters), Entries: s.entries, Draw: rand.Float64, Log: s.part("relay"),
-	})
+	}
+	if set.Rollout != nil {
+		s.rollouts = newRollouts(set.Rollout.limits(), s.meters)
+		parts.Picks, parts.Outcomes = s.rollouts, s.rollouts
+		s.checkRollback()
+	}
+	s.relay = relay.New(parts)
 	s.overdue = s.meters.NewCounter("papayaport_caller_connections_overdue_total")
 	s.poolsLost = s.meters.NewCounter("papayaport_pools_lost_total")
 	s.registerGauges()
@@ -232,9 +271,13 @@
 	if err != nil {
 		return err
 	}
-	for _, loop := range []func(context.Context) error{
+	loops := []func(context.Context) error{
 		s.runView, s.exchange.Run, s.runRecord, s.leases.Run, s.runDuties, s.runTicks, s.runBorrow, s.runPay, s.runRoll,
-	} {
+	}
+	if s.rollouts != nil {
+		loops = append(loops, s.runRollouts, s.runRolloutQuestions)
+	}
+	for _, loop := range loops {
 		group.Go(func() error {
 			err := loop(running)
 			if running.Err() != nil {
--- a/entry/site/views.go
+++ b/entry/site/views.go
@@ -55,9 +55,10 @@
 	servers       []directory.Server
 	own           []platform.Entry
 	// leases names the leases that some instance holds.
-	leases []string
-	// configurationDigest and serversDigest tell whether a peer has the same.
-	configurationDigest, serversDigest uint64
+	leases   []string
+	rollouts heldRollouts
+	// configurationDigest, serversDigest and rolloutsDigest tell whether a peer has the same.
+	configurationDigest, serversDigest, rolloutsDigest uint64
 }
 
 // viewQuery asks a peer for its view. What the asking instance has already is not sent.
@@ -66,6 +67,8 @@
 	Servers       uint64 `cbor:"2,keyasint"`
 	// Own asks for the entry instances' own keys.
 	Own bool `cbor:"3,keyasint,omitempty"`
+	// Rollouts is the digest of the roll-outs that the asking instance knows.
+	Rollouts uint64 `cbor:"4,keyasint,omitempty"`
 }
 
 // viewReply holds what differs from the asking instance's view.
@@ -78,6 +81,8 @@
 	Own           []platform.Entry   `cbor:"5,keyasint,omitempty"`
 	// Leases is nil when the peer does not tell them.
 	Leases []string `cbor:"6,keyasint"`
+	// Rollouts is nil when the asking instance has the same, or the peer knows of none.
+	Rollouts *heldRollouts `cbor:"7,keyasint,omitempty"`
 }
 
 // digest fills in the digests.
@@ -87,6 +92,10 @@
 		return errors.Wrap(err, "encode servers")
 	}
 	h.configurationDigest, h.serversDigest = xxhash.Sum64(h.configuration), xxhash.Sum64(data)
+	if data, err = cbor.Marshal(h.rollouts); err != nil {
+		return errors.Wrap(err, "encode roll-outs")
+	}
+	h.rolloutsDigest = xxhash.Sum64(data)
 	return nil
 }
 
@@ -108,6 +117,9 @@
 	if question.Own {
 		answer.Own = held.own
 	}
+	if question.Rollouts != held.rolloutsDigest {
+		answer.Rollouts = &held.rollouts
+	}
 	return answer
 }
 
@@ -175,7 +187,9 @@
 	}
 	s.setEntries(view.Own)
 	leases := append([]string{}, view.Leases...) // peers tell none from not told
-	v.take(heldView{at: at, configuration: view.Configuration, servers: view.Servers, own: view.Own, leases: leases}, "store")
+	v.take(heldView{
+		at: at, configuration: view.Configuration, servers: view.Servers, own: view.Own, leases: leases, rollouts: rolloutsOf(view),
+	}, "store")
 	v.ownAt = at
 	return true
 }
@@ -190,6 +204,7 @@
 	}
 	question := viewQuery{
 		Configuration: held.configurationDigest, Servers: held.serversDigest, Own: clock.Boot().Sub(v.ownAt) >= ownPeriod,
+		Rollouts: held.rolloutsDigest,
 	}
 	for _, reader := range readers {
 		if s.unreached.lately(reader.PeerAddress) {
@@ -229,6 +244,9 @@
 	if !answer.SameServers {
 		view.servers = answer.Servers
 	}
+	if answer.Rollouts != nil {
+		view.rollouts = *answer.Rollouts
+	}
 	view.leases = answer.Leases
 	if view.at.Before(held.at) {
 		return // another reader was ahead
@@ -257,7 +275,10 @@
 	if view.leases != nil {
 		s.leases.Seen(dutyLease, slices.Contains(view.leases, dutyLease))
 	}
-	s.setServers(now, v.table.Listed(now, view.servers))
+	servers := v.table.Listed(now, view.servers)
+	// Before the servers, so that none of a new version is used without its order.
+	s.takeRollouts(view.at, view.rollouts, servers)
+	s.setServers(now, servers)
 }
 
 // others returns a few live peers at random.
--- a/serving/process/directory/directory.go
+++ b/serving/process/directory/directory.go
@@ -38,6 +38,8 @@
 	LeavesIn time.Duration `cbor:"8,keyasint,omitempty"`
 	// Reclaimable tells that the platform may take it away on short notice.
 	Reclaimable bool `cbor:"9,keyasint,omitempty"`
+	// Version is the version of its software, empty when it names none.
+	Version string `cbor:"10,keyasint,omitempty"`
 }
 
 // Table is what one entry instance knows of the backend servers.
--- a/serving/request/route/choose.go
+++ b/serving/request/route/choose.go
@@ -9,8 +9,8 @@
 
 // Choose picks a backend server for a request. Servers that are leaving and those that asked
 // for no request are never taken. Servers in Exclude and servers barred after failures are
-// taken only when there is no other. The error is a *problem.Error of kind NoBackend
-// or HeldBack.
+// taken only when there is no other, and servers whose version the request doesn't allow
+// never. The error is a *problem.Error of kind NoBackend or HeldBack.
 func (t *Table) Choose(now time.Time, request Request) (Choice, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -26,6 +26,9 @@
 	if len(t.candidates) == 0 && t.opens > 0 {
 		return Choice{}, heldBack(request.Service, t.opens, t.random)
 	}
+	if len(t.candidates) == 0 && request.Versions.restrict() {
+		return Choice{}, problem.New(problem.NoBackend, "service %s has no backend server of a version that may be used", request.Service)
+	}
 	if len(t.candidates) == 0 {
 		return Choice{}, problem.New(problem.NoBackend, "all backend servers of service %s are leaving or gone", request.Service)
 	}
@@ -64,8 +67,9 @@
 func (t *Table) collect(now time.Time, g *group) {
 	t.candidates, t.barred, t.opens = t.candidates[:0], t.barred[:0], 0
 	q := t.ask(now, g)
+	last, bounded := t.lastHash(g)
 	for _, b := range g.backends {
-		if b.leaving || b.unlisted {
+		if b.leaving || b.unlisted || !t.request.Versions.allow(b.Version) || (bounded && b.hash > last) {
 			continue
 		}
 		if wait, admitted := b.asked.Admits(now); !admitted {
@@ -73,12 +77,12 @@
 			continue
 		}
 		t.candidates = append(t.candidates, Candidate{backend: b})
-		last := len(t.candidates) - 1
-		c := &t.candidates[last]
+		added := len(t.candidates) - 1
+		c := &t.candidates[added]
 		t.estimate(c, &q)
 		if t.isLastResort(c, &q) {
 			t.barred = append(t.barred, *c)
-			t.candidates = t.candidates[:last]
+			t.candidates = t.candidates[:added]
 		}
 	}
 }
--- a/serving/request/route/route.go
+++ b/serving/request/route/route.go
@@ -43,9 +43,11 @@
 type Backend struct {
 	ID string
 	// Incarnation grows every time the server starts anew under the same id.
-	Incarnation   uint64
-	Service       string
-	Address       string
+	Incarnation uint64
+	Service     string
+	Address     string
+	// Version is the version of the server's software, empty when it doesn't tell.
+	Version       string
 	Region        string
 	FailureDomain string
 	Class         string
@@ -75,6 +77,8 @@
 	Target       service.LatencyTarget
 	// Exclude holds the ids of backend servers that were tried already.
 	Exclude []string
+	// Versions bounds the versions of the servers that may take the request.
+	Versions Versions
 }
 
 // Choice is a backend server with the estimates that spoke for it.
@@ -92,6 +96,10 @@
 	counted bool
 }
 
+// Mean returns the estimated mean time to the first token, which a ratio of times is taken
+// against.
+func (c *Choice) Mean() time.Duration { return c.mean }
+
 // Result tells how an attempt ended.
 type Result int
 
--- a/serving/request/route/table.go
+++ b/serving/request/route/table.go
@@ -43,6 +43,8 @@
 	request    Request
 	candidates []Candidate
 	barred     []Candidate
+	// hashes is reused by lastHash.
+	hashes []uint64
 	// opens is when the first of the servers that Choose left out for what they asked for
 	// takes a request, 0 when there were none.
 	opens time.Duration
--- /dev/null
+++ b/serving/request/route/versions_test.go
@@ -0,0 +1,112 @@
+package route_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"papayaport.dev/serving/process/problem"
+	"papayaport.dev/serving/request/backpressure"
+	"papayaport.dev/serving/request/route"
+)
+
+// versionedBackends returns six servers of v1, six of v2 and one that tells no version.
+func versionedBackends() []route.Backend {
+	list := backends(13)
+	for i := range list {
+		list[i].Version = []string{"v1", "v2"}[i%2]
+	}
+	list[12].Version = ""
+	return list
+}
+
+// chosen returns the servers that a request goes to in many choices, by version.
+func chosen(t *testing.T, table *route.Table, versions route.Versions) map[string]map[string]bool {
+	t.Helper()
+	seen := map[string]map[string]bool{}
+	for i := range 400 {
+		request := filing(fmt.Sprint("text", i), 2)
+		request.Versions = versions
+		choice := send(t, table, start, fmt.Sprint(versions, i), request)
+		if seen[choice.Backend.Version] == nil {
+			seen[choice.Backend.Version] = map[string]bool{}
+		}
+		seen[choice.Backend.Version][choice.Backend.ID] = true
+	}
+	return seen
+}
+
+// TestVersions guards against requests that reach a version which a roll-out does not allow.
+func TestVersions(t *testing.T) {
+	for name, test := range map[string]struct {
+		versions route.Versions
+		// want is the number of servers that are used, by version.
+		want map[string]int
+	}{
+		"any version":              {route.Versions{}, map[string]int{"v1": 6, "v2": 6, "": 1}},
+		"only one":                 {route.Versions{Only: "v2"}, map[string]int{"v2": 6}},
+		"not one":                  {route.Versions{Not: []string{"v2"}}, map[string]int{"v1": 6, "": 1}},
+		"not several":              {route.Versions{Not: []string{"v2", "v1"}}, map[string]int{"": 1}},
+		"not one without a name":   {route.Versions{Not: []string{""}}, map[string]int{"v1": 6, "v2": 6}},
+		"most of one":              {route.Versions{Only: "v2", Most: 2}, map[string]int{"v2": 2}},
+		"more than there are":      {route.Versions{Only: "v2", Most: 60}, map[string]int{"v2": 6}},
+		"most without one version": {route.Versions{Most: 2}, map[string]int{"v1": 6, "v2": 6, "": 1}},
+	} {
+		for _, policy := range []string{route.Papayaport, route.LeastInFlight, route.RoundRobin, route.PrefixHash} {
+			t.Run(name+" by "+policy, func(t *testing.T) {
+				seen := map[string]int{}
+				for version, servers := range chosen(t, seededTable(t, policy, versionedBackends(), 1), test.versions) {
+					seen[version] = len(servers)
+				}
+				require.Equal(t, test.want, seen)
+			})
+		}
+	}
+}
+
+// TestVersionsWithoutServers guards against a version that is used as a last resort because
+// no other server is left, and against a refusal that looks as if the request had run.
+func TestVersionsWithoutServers(t *testing.T) {
+	for name, versions := range map[string]route.Versions{
+		"none of one":       {Only: "v3"},
+		"all are not to be": {Not: []string{"v1", "v2", ""}},
+		"only and not":      {Only: "v2", Not: []string{"v2"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			table := seededTable(t, route.Papayaport, versionedBackends(), 1)
+			request := filing("text", 2)
+			request.Versions = versions
+			_, err := table.Choose(start, request)
+			refusal := problem.From(err)
+			require.Equal(t, problem.NoBackend, refusal.Kind)
+			require.Equal(t, problem.NotRun, problem.Rows[refusal.Kind].Outcome)
+		})
+	}
+}
+
+// TestMostIsTheSameEverywhere guards against a trial that spreads over more servers because
+// entry instances choose different ones: what only one of them knows of a server does not
+// move the bound, and a server that leaves is replaced by the next at all.
+func TestMostIsTheSameEverywhere(t *testing.T) {
+	versions := route.Versions{Only: "v2", Most: 2}
+	first := chosen(t, seededTable(t, route.Papayaport, versionedBackends(), 1), versions)["v2"]
+	require.Len(t, first, 2)
+
+	other := seededTable(t, route.LeastInFlight, versionedBackends(), 7)
+	closed := ""
+	for id := range first {
+		closed = id
+	}
+	other.Asked(start, start, closed, 1, backpressure.Asked{Closed: time.Minute})
+	for id := range chosen(t, other, versions)["v2"] {
+		require.Contains(t, first, id, "a server that is closed here keeps its place")
+	}
+
+	leaves := seededTable(t, route.Papayaport, versionedBackends(), 1)
+	leaves.Leaving(start, closed, 1, start.Add(time.Minute))
+	next := chosen(t, leaves, versions)["v2"]
+	require.Len(t, next, 2)
+	require.NotContains(t, next, closed)
+}
