--- a/serving/version/rollout/rollout.go
+++ b/serving/version/rollout/rollout.go
@@ -60,6 +60,19 @@
 // InProgress tells whether a roll-out is still to be decided.
 func (p Phase) InProgress() bool { return p == Trial || p == Shift }
 
+// rank orders the phases of one record, so that an older view can be told.
+func (p Phase) rank() int {
+	switch p {
+	case Trial:
+		return 1
+	case Shift:
+		return 2
+	case Completed, Reverted:
+		return 3
+	}
+	return 0
+}
+
 // Record is what lasts of a service's roll-out, as JSON in the store.
 type Record struct {
 	Service string `json:"service"`
@@ -120,7 +133,8 @@
 
 // Pick says which versions an attempt may use. The zero value restricts nothing.
 type Pick struct {
-	// Candidate tells that the attempt counts towards the exposure.
+	// Candidate tells that the attempt is for the candidate of a roll-out in progress. In trial
+	// it counts towards the exposure once it is sent.
 	Candidate bool
 	// Only is the one version that may be used, empty for any.
 	Only string
@@ -230,6 +244,9 @@
 	Again bool
 	// Finding is what decided the step.
 	Finding Finding
+	// Written is the revision that an accepted write got, 0 where the store does not tell. The
+	// site sets it before Decider.Written; without it the next write waits for the view.
+	Written uint64
 }
 
 // Outcome is what became of a write.
