--- a/serving/version/rollout/decider.go
+++ b/serving/version/rollout/decider.go
@@ -51,9 +51,8 @@
 	lagging bool
 }
 
-// NewDecider returns a decider that knows no roll-outs. Its own times do not depend on the
-// limits: pooling, deciding and the life of a permit take 3.8 s at most, and Rollback must be
-// longer.
+// NewDecider returns a decider that knows no roll-outs. Its times are fixed and do not depend on
+// the limits, of which Rollback must be at least the sum that permitSteady explains.
 func NewDecider(_ Limits) *Decider {
 	d := &Decider{}
 	d.clear()
--- a/serving/version/rollout/exposure.go
+++ b/serving/version/rollout/exposure.go
@@ -64,10 +64,15 @@
 func (e *exposure) reserve(now time.Time, route string) bool {
 	e.expire(now)
 	credit := e.credit - float64(len(e.reserved))
-	if credit < 1 || !e.spaced(now) {
+	if credit < 1 {
 		return false
 	}
-	if credit < 2 && e.behind(route) {
+	// A route that lags is rare and goes at once: it might always come too soon after others.
+	own := e.lag(e.count(route))
+	if own < laggingRoute && !e.spaced(now) {
+		return false
+	}
+	if credit < 2 && e.behind(own) {
 		return false
 	}
 	e.reserved = append(e.reserved, now)
@@ -95,9 +100,8 @@
 	return len(e.reserved) == 0 && float64(e.since)*spacingFactor*e.earn >= 1
 }
 
-// behind tells whether another route waits for the candidate more than this one.
-func (e *exposure) behind(route string) bool {
-	own := e.lag(e.count(route))
+// behind tells whether a route waits for the candidate more than one that lags by own.
+func (e *exposure) behind(own float64) bool {
 	for _, other := range e.routes {
 		if lag := e.lag(other); lag >= laggingRoute && lag > own {
 			return true
