Test evidence, book, pool and verdict

A sum of evidence whose rest was already counted under "*" told one name less apart, so the counts of one route moved to the rest. The rest no longer counts towards the 64 routes and 32 servers.

--- a/serving/version/rollout/evidence.go
+++ b/serving/version/rollout/evidence.go
@@ -83,7 +83,11 @@
 	if e.Routes == nil {
 		e.Routes = make(map[string]Cohorts)
 	}
-	if _, ok := e.Routes[name]; ok || len(e.Routes) < routesMost {
+	named := len(e.Routes)
+	if _, ok := e.Routes[otherRoutes]; ok {
+		named--
+	}
+	if _, ok := e.Routes[name]; ok || named < routesMost {
 		return name
 	}
 	return otherRoutes
@@ -94,7 +98,11 @@
 	if e.Servers == nil {
 		e.Servers = make(map[string]Tally)
 	}
-	if _, ok := e.Servers[name]; ok || len(e.Servers) < serversMost {
+	named := len(e.Servers)
+	if _, ok := e.Servers[otherServers]; ok {
+		named--
+	}
+	if _, ok := e.Servers[name]; ok || named < serversMost {
 		return name
 	}
 	return otherServers
--- /dev/null
+++ b/serving/version/rollout/evidence_test.go
@@ -0,0 +1,228 @@
+package rollout
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestBucket guards against ratios that are counted in a neighbouring bucket or beyond the ends.
+func TestBucket(t *testing.T) {
+	tests := map[string]struct {
+		ratio float64
+		want  int
+	}{
+		"none":           {0, 0},
+		"lowest":         {0.125, 0},
+		"above lowest":   {0.126, 1},
+		"one":            {1, 6},
+		"above one":      {1.01, 7},
+		"end of seventh": {math.Sqrt2, 7},
+		"last":           {17, 15},
+		"beyond":         {1e9, 15},
+		"infinite":       {math.Inf(1), 15},
+		"not a number":   {math.NaN(), 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			require.Equal(t, test.want, bucket(test.ratio))
+		})
+	}
+}
+
+// TestSlow guards against a threshold that is off by a bucket: twice the median must not count
+// as slow, four times the median must.
+func TestSlow(t *testing.T) {
+	for _, typical := range []float64{0.2, 0.5, 1, 1.3, 2, 4} {
+		var old []int
+		for range 100 {
+			old = bump(old, typical)
+		}
+		m := median(old)
+		require.InEpsilon(t, typical, m, 0.25)
+		threshold := slowFactor * m
+		require.Zero(t, beyond(bump(nil, 1.6*typical), threshold), typical)
+		require.Equal(t, 1, beyond(bump(nil, 4.5*typical), threshold), typical)
+	}
+	require.Zero(t, median(nil))
+	require.Zero(t, beyond([]int{1, 2, 3}, 0), "without a threshold nothing is slow")
+	require.Zero(t, beyond(bump(nil, 100), 50), "the last bucket has no upper end")
+}
+
+// sampleEvidence returns counts of a few answers.
+func sampleEvidence(answers int) Evidence {
+	var e Evidence
+	for i := range answers {
+		e.change("review", fmt.Sprint("server-", i%3), i%2 == 0, func(t *Tally) {
+			t.answered(i%5 == 0, 1, 1)
+		})
+	}
+	return e
+}
+
+// TestEvidenceSums guards against counts that share memory, are lost or counted twice.
+func TestEvidenceSums(t *testing.T) {
+	a, b := sampleEvidence(20), sampleEvidence(10)
+	sum := a.Clone()
+	sum.Add(b)
+	require.Equal(t, sampleEvidence(20), a, "the summands stay")
+	candidate, old := sum.Answers()
+	require.Equal(t, 15, candidate)
+	require.Equal(t, 15, old)
+
+	back := sum.Since(b)
+	require.Equal(t, a, back)
+
+	raised := a.Clone()
+	raised.Raise(b)
+	require.Equal(t, a, raised, "earlier counts of the same process add nothing")
+	raised.Raise(a)
+	require.Equal(t, a, raised)
+}
+
+// TestEvidenceRefusesNonsense guards against reports with counts below 0 or too many buckets.
+func TestEvidenceRefusesNonsense(t *testing.T) {
+	bad := Tally{Answers: -5, Failures: -1, First: []int{-3, 2}, Whole: make([]int, 1000)}
+	var e Evidence
+	e.Add(Evidence{Routes: map[string]Cohorts{"review": {Candidate: bad}}})
+	got := e.Routes["review"].Candidate
+	require.Zero(t, got.Answers)
+	require.Zero(t, got.Failures)
+	require.Equal(t, []int{0, 2}, got.First)
+	require.Len(t, got.Whole, ratioBuckets)
+}
+
+// TestEvidenceBounds guards against records that grow with the names of routes and servers, and
+// against answers lost when there are too many names.
+func TestEvidenceBounds(t *testing.T) {
+	var e Evidence
+	for i := range 1000 {
+		e.change(fmt.Sprint("route-", i), fmt.Sprint("server-", i), true, func(t *Tally) {
+			t.answered(false, 1, 1)
+		})
+	}
+	var sum Evidence
+	sum.Add(e)
+	sum.Add(e)
+	for _, e := range []Evidence{e, sum} {
+		require.Len(t, e.Routes, routesMost+1)
+		require.Len(t, e.Servers, serversMost+1)
+	}
+	candidate, _ := sum.Answers()
+	require.Equal(t, 2000, candidate)
+	require.Equal(t, 2*(1000-serversMost), sum.Servers[otherServers].Answers)
+	encoded, err := json.Marshal(sum)
+	require.NoError(t, err)
+	require.Less(t, len(encoded), 32<<10)
+}
+
+// TestBook guards against attempts counted twice, under another order, or not at all while they
+// wait.
+func TestBook(t *testing.T) {
+	b := NewBook()
+	attempt := Attempt{
+		Service: "bench", Route: "review", Server: "s1", Candidate: true, Estimate: time.Second,
+	}
+	answer := Answer{
+		Service: "bench", Route: "review", Server: "s1", Candidate: true, FirstRatio: 1, WholeRatio: 1,
+	}
+	require.Zero(t, b.Began(start, attempt), "not followed")
+	b.Answered(answer)
+	require.Zero(t, b.Evidence(start, "bench"))
+
+	b.Follow("bench", 7)
+	waits := b.Began(start, attempt)
+	streams := b.Began(start, attempt)
+	left := b.Began(start, attempt)
+	b.First(start.Add(time.Second), streams)
+	b.First(start.Add(5*time.Second), streams)
+	b.Dropped(left)
+	b.Follow("bench", 7)
+
+	got := b.Evidence(start.Add(4*time.Second), "bench").Routes["review"]
+	require.Zero(t, got.Old)
+	require.Zero(t, got.Candidate.Answers)
+	require.Equal(t, 1, sum(got.Candidate.First))
+	require.Equal(t, bump(nil, 4), got.Candidate.Waiting)
+
+	answer.Attempt = streams
+	b.Answered(answer)
+	b.Answered(answer)
+	answer.Attempt = waits
+	answer.Failed = true
+	b.Answered(answer)
+	e := b.Evidence(start.Add(9*time.Second), "bench")
+	got = e.Routes["review"]
+	require.Equal(t, 2, got.Candidate.Answers)
+	require.Equal(t, 1, got.Candidate.Failures)
+	require.Equal(t, 1, sum(got.Candidate.First))
+	require.Equal(t, 1, sum(got.Candidate.Whole))
+	require.Empty(t, got.Candidate.Waiting)
+	require.Equal(t, 2, e.Servers["s1"].Answers)
+
+	before := b.Began(start, attempt)
+	b.Follow("bench", 8)
+	answer.Attempt = before
+	b.Answered(answer)
+	require.Zero(t, b.Evidence(start, "bench"), "it began under an earlier order")
+	b.Follow("bench", 0)
+	require.Zero(t, b.Began(start, attempt))
+}
+
+// TestBookBoundsAttempts guards against callers that never end what they began.
+func TestBookBoundsAttempts(t *testing.T) {
+	b := NewBook()
+	b.Follow("bench", 7)
+	for range 2 * attemptsMost {
+		b.Began(start, Attempt{Service: "bench", Estimate: time.Second})
+	}
+	require.Len(t, b.attempts, attemptsMost)
+}
+
+// TestPool guards against reports that are counted twice when they are repeated, after a
+// restart, or after a takeover, and against counts lost with a process.
+func TestPool(t *testing.T) {
+	report := func(instance string, incarnation, order uint64, answers int) Report {
+		return Report{
+			Service: "bench", Order: order, Instance: instance, Incarnation: incarnation,
+			Evidence: sampleEvidence(answers),
+		}
+	}
+	tests := map[string]struct {
+		base   Evidence
+		rounds [][]Report
+		want   int
+	}{
+		"repeated":      {rounds: [][]Report{{report("a", 1, 7, 10)}, {report("a", 1, 7, 10)}}, want: 10},
+		"grown":         {rounds: [][]Report{{report("a", 1, 7, 10)}, {report("a", 1, 7, 30)}}, want: 30},
+		"overtaken":     {rounds: [][]Report{{report("a", 1, 7, 30)}, {report("a", 1, 7, 10)}}, want: 30},
+		"lost":          {rounds: [][]Report{{report("a", 1, 7, 10)}, {}}, want: 10},
+		"two instances": {rounds: [][]Report{{report("a", 1, 7, 10), report("b", 1, 7, 20)}}, want: 30},
+		"other order":   {rounds: [][]Report{{report("a", 1, 6, 10), report("b", 1, 7, 20)}}, want: 20},
+		"restarted": {
+			rounds: [][]Report{{report("a", 1, 7, 10)}, {report("a", 2, 7, 20)}, {report("a", 1, 7, 10)}},
+			want:   30,
+		},
+		"taken over": {
+			base: sampleEvidence(20), rounds: [][]Report{{report("a", 1, 7, 10), report("b", 1, 7, 20)}},
+			want: 30,
+		},
+		"taken over, instances gone": {
+			base: sampleEvidence(20), rounds: [][]Report{{report("a", 2, 7, 10)}}, want: 20,
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			p := pool{base: test.base}
+			for _, reports := range test.rounds {
+				p.take(reports, 7)
+			}
+			candidate, old := p.sum().Answers()
+			require.Equal(t, test.want, candidate+old)
+		})
+	}
+}
