--- a/entry/relay/versions.go
+++ b/entry/relay/versions.go
@@ -151,8 +151,8 @@
 }
 
 // isShort tells whether the server had too little time to be called silent, since the
-// connection took most of it; mu is held.
-func (t *tale) isShort(now time.Time) bool { return now.Sub(t.sentAt) < shortestSilence }
+// connection took the larger part of it; mu is held.
+func (t *tale) isShort(now time.Time) bool { return now.Sub(t.sentAt) < shortestSilence/2 }
 
 // drop tells that the attempt never reached its server.
 func (t *tale) drop() { t.end(time.Now(), route.Refused, 0) }
