--- /dev/null
+++ b/serving/version/rollout/decider_test.go
@@ -0,0 +1,187 @@
+package rollout
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// only returns a behaviour of the candidate; the old version is good.
+func only(behave func(simulated) outcome) func(simulated) outcome {
+	return func(s simulated) outcome {
+		if s.version != "v2" {
+			return outcome{}
+		}
+		return behave(s)
+	}
+}
+
+// TestDecider guards against bad versions that are completed, good ones that are reverted, both
+// after the deadline, and too many requests at a bad one.
+func TestDecider(t *testing.T) {
+	tests := map[string]struct {
+		duration time.Duration
+		set      func(w *world)
+		behave   func(w *world) func(simulated) outcome
+		midway   func(w *world) // after 5 s
+		want     Phase
+		bad      bool
+		reason   string
+		// within is when the verdict must be there, 0 for the deadline.
+		within time.Duration
+	}{
+		"good":       {want: Completed, reason: "good"},
+		"good, long": {duration: time.Minute, want: Completed, reason: "good"},
+		"good, some failures everywhere": {
+			behave: func(w *world) func(simulated) outcome {
+				return func(simulated) outcome { return outcome{failed: w.rng.IntN(20) == 0} }
+			},
+			want: Completed, reason: "good",
+		},
+		"bad immediately": {
+			behave: func(w *world) func(simulated) outcome {
+				return only(func(simulated) outcome { return outcome{failed: w.rng.IntN(3) == 0} })
+			},
+			want: Reverted, bad: true, reason: "failures on all routes", within: 4 * time.Second,
+		},
+		"bad later": {
+			duration: time.Minute,
+			behave: func(w *world) func(simulated) outcome {
+				return only(func(s simulated) outcome {
+					return outcome{failed: s.since > 45*time.Second && w.rng.IntN(4) == 0}
+				})
+			},
+			want: Reverted, bad: true, reason: "failures on all routes", within: 49 * time.Second,
+		},
+		"bad in shift": {
+			set: func(w *world) { w.inFlightOld = 1 },
+			behave: func(*world) func(simulated) outcome {
+				return only(func(s simulated) outcome {
+					return outcome{failed: s.since > 8300*time.Millisecond}
+				})
+			},
+			want: Reverted, bad: true, reason: "failures", within: 10 * time.Second,
+		},
+		"bad only under load": {
+			behave: func(w *world) func(simulated) outcome {
+				return only(func(s simulated) outcome {
+					return outcome{failed: s.rate > 8 && w.rng.IntN(2) == 0}
+				})
+			},
+			want: Reverted, bad: true, reason: "failures",
+		},
+		"bad on one route": {
+			behave: func(*world) func(simulated) outcome {
+				return only(func(s simulated) outcome { return outcome{failed: s.route == "rare"} })
+			},
+			want: Reverted, bad: true, reason: "failures on route rare",
+		},
+		"slow": {
+			behave: func(*world) func(simulated) outcome {
+				return only(func(simulated) outcome { return outcome{ratio: 4.5} })
+			},
+			want: Reverted, bad: true, reason: "first on all routes", within: 4 * time.Second,
+		},
+		"good beside a crashed server": {
+			set: func(w *world) { w.servers["v1"] = 60 }, // five candidate servers in trial
+			behave: func(*world) func(simulated) outcome {
+				crashed := 0
+				return only(func(s simulated) outcome {
+					// Attempts fail until the server is barred.
+					if s.server != 1 || crashed >= 25 {
+						return outcome{}
+					}
+					crashed++
+					return outcome{failed: true}
+				})
+			},
+			want: Completed, reason: "good",
+		},
+		"good beside failing old servers": {
+			behave: func(*world) func(simulated) outcome {
+				return func(s simulated) outcome {
+					return outcome{failed: s.version == "v1" && s.server < 10}
+				}
+			},
+			want: Completed, reason: "good",
+		},
+		"too few answers": {
+			set:  func(w *world) { w.rate = 0 },
+			want: Reverted, reason: "too few answers",
+		},
+		"too few servers": {
+			set: func(w *world) {
+				w.servers["v2"], w.inFlight = 2, 40
+			},
+			want: Reverted, reason: "too few servers",
+		},
+		"no new servers": {
+			set:  func(w *world) { w.servers["v2"] = 0 },
+			want: Reverted, reason: "too few servers",
+		},
+		"few servers for few requests": {
+			set:  func(w *world) { w.servers["v2"], w.inFlight = 2, 3 },
+			want: Completed, reason: "good",
+		},
+		"only version": {
+			set:  func(w *world) { delete(w.servers, "v1") },
+			want: Completed, reason: "only version", within: time.Second,
+		},
+		"old servers in use until the last moment": {
+			set:  func(w *world) { w.inFlightOld = 1 },
+			want: Completed, reason: "good",
+		},
+		"one instance out of reach": {
+			midway: func(w *world) { w.nodes[0].cut = true },
+			want:   Completed, reason: "good",
+		},
+		"clock set back": {
+			midway: func(w *world) { w.skew = -time.Hour },
+			want:   Completed, reason: "good",
+		},
+		"clock set forward": {
+			duration: time.Minute,
+			midway:   func(w *world) { w.skew = time.Hour },
+			want:     Completed, reason: "good",
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 5)
+			if test.set != nil {
+				test.set(w)
+			}
+			if test.behave != nil {
+				w.behave = test.behave(w)
+			}
+			duration := test.duration
+			if duration == 0 {
+				duration = 12 * time.Second
+			}
+			w.run(250 * time.Millisecond) // the instances are there before the order
+			began, before := w.elapsed, w.total
+			w.order("v2", duration)
+			if test.midway != nil {
+				w.run(5 * time.Second)
+				test.midway(w)
+			}
+			within := test.within
+			if within == 0 {
+				within = duration
+			}
+			w.run(began + within - w.elapsed)
+			require.Equal(t, test.want, w.record().Phase, "%+v", w.record().Reason)
+			require.Contains(t, w.record().Reason, test.reason)
+			require.Equal(t, test.bad, w.record().Bad)
+			w.run(began + duration - w.elapsed)
+			require.Equal(t, test.want, w.record().Phase)
+			if test.want == Reverted && w.sent["v2"] > 0 && name != "bad in shift" {
+				require.LessOrEqual(t, float64(w.sent["v2"]), 0.1*float64(w.total-before)+50)
+			}
+			if w.fiftieth > 0 && test.bad {
+				require.LessOrEqual(t, w.lastCandidate-w.fiftieth, limits.Rollback)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/serving/version/rollout/failure_test.go
@@ -0,0 +1,237 @@
+package rollout
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestHolderLost guards against a candidate that goes on getting requests in trial without a
+// holder, and against a shift that ends with its holder.
+func TestHolderLost(t *testing.T) {
+	w := started(t, 4*time.Second)
+	require.Equal(t, Trial, w.record().Phase)
+	w.holding = false
+	w.run(permitLife + roundTicks*worldTick)
+	before := w.sent["v2"]
+	require.Positive(t, before)
+	w.run(2 * time.Second)
+	require.Equal(t, before, w.sent["v2"])
+
+	w = started(t, 0)
+	w.inFlightOld = 1
+	w.run(8500 * time.Millisecond)
+	require.Equal(t, Shift, w.record().Phase)
+	w.holding = false
+	w.run(5 * time.Second)
+	old := w.sent["v1"]
+	w.run(time.Second)
+	require.Equal(t, old, w.sent["v1"], "new requests stay with the candidate")
+}
+
+// TestTakeover guards against a new holder that starts again, forgets what its predecessor saw,
+// or lets itself be undone by it.
+func TestTakeover(t *testing.T) {
+	tests := map[string]struct {
+		at  time.Duration
+		old int
+		restart,
+		bad bool
+		want  Phase
+		steps []Step
+	}{
+		"in trial": {
+			at: 4 * time.Second, want: Completed,
+			steps: []Step{StepTakeover, StepShift, StepCompleted},
+		},
+		"in trial, all processes restarted": {
+			at: 4 * time.Second, restart: true, want: Completed,
+			steps: []Step{StepTakeover, StepShift, StepCompleted},
+		},
+		"in shift": {
+			at: 8500 * time.Millisecond, old: 1, want: Completed,
+			steps: []Step{StepTakeover, StepCompleted},
+		},
+		"in trial, bad": {
+			at: 750 * time.Millisecond, bad: true, want: Reverted,
+			steps: []Step{StepTakeover, StepReverted},
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 5)
+			w.inFlightOld = test.old
+			w.run(250 * time.Millisecond)
+			w.order("v2", usual)
+			w.run(test.at)
+			startedMS := w.record().StartedMS
+			predecessor := w.decider
+			w.decider, w.fencing, w.steps = NewDecider(limits), 2, nil
+			if test.bad {
+				w.behave = only(failing)
+			}
+			if test.restart {
+				for _, n := range w.nodes {
+					w.restart(n)
+				}
+			}
+			w.run(time.Second)
+			require.Empty(t, predecessor.Decide(w.day(), Input{
+				Fencing: 1, Orders: w.orders, Records: []Stored{{Record: Record{
+					Service: "bench", To: "v2", Order: w.orders[0].Revision, Phase: Trial, Fencing: 2,
+				}, Revision: 99}},
+			}), "the predecessor is superseded")
+			w.run(usual - test.at - time.Second)
+			require.Equal(t, test.want, w.record().Phase, w.record().Reason)
+			require.Equal(t, test.steps, w.stepNames())
+			require.Equal(t, startedMS, w.record().StartedMS)
+		})
+	}
+}
+
+// TestTakeoverAfterLastMoment guards against a new holder that reverts a good version before it
+// has heard the reports.
+func TestTakeoverAfterLastMoment(t *testing.T) {
+	w := started(t, 7*time.Second)
+	w.decider = NewDecider(limits)
+	w.holding = false
+	w.run(4 * time.Second)
+	w.holding, w.fencing = true, 2
+	w.run(2 * time.Second)
+	require.Equal(t, Completed, w.record().Phase, w.record().Reason)
+}
+
+// TestStore guards against verdicts that the store's faults undo, delay for good, or turn into
+// others.
+func TestStore(t *testing.T) {
+	tests := map[string]struct {
+		behave func(simulated) outcome
+		phase  Phase // writes of this phase fail
+		answer Outcome
+		apply  bool
+		times  int           // how many writes fail
+		until  time.Duration // how long writes fail, instead
+		turn   bool          // the candidate turns bad with the first failing write
+		want   Phase
+		by     time.Duration
+	}{
+		"down at the first write": {
+			phase: Trial, answer: NotWritten, until: 2 * time.Second, want: Completed, by: usual,
+		},
+		"down at the shift, past the deadline": {
+			phase: Shift, answer: NotWritten, until: 20 * time.Second,
+			want: Completed, by: 22 * time.Second,
+		},
+		"down at completion, past the deadline": {
+			phase: Completed, answer: NotWritten, until: 20 * time.Second,
+			want: Completed, by: 21 * time.Second,
+		},
+		"down at a bad verdict": {
+			behave: only(failing), phase: Reverted, answer: NotWritten, until: 8 * time.Second,
+			want: Reverted, by: 9 * time.Second,
+		},
+		"reply to the shift lost": {
+			phase: Shift, answer: Unknown, apply: true, times: 1, want: Completed, by: usual,
+		},
+		"reply to completion lost": {
+			phase: Completed, answer: Unknown, apply: true, times: 1, want: Completed, by: usual,
+		},
+		"reply to completion lost, turns bad": {
+			phase: Completed, answer: Unknown, times: 6, turn: true, want: Completed, by: usual,
+		},
+		"completion refused, turns bad": {
+			phase: Completed, answer: NotWritten, times: 6, turn: true, want: Reverted, by: usual,
+		},
+		"reply to a bad verdict lost": {
+			behave: only(failing), phase: Reverted, answer: Unknown, apply: true, times: 1,
+			want: Reverted, by: usual,
+		},
+		"shift refused, turns bad": {
+			phase: Shift, answer: NotWritten, until: 20 * time.Second, turn: true,
+			want: Reverted, by: usual,
+		},
+		"conflict": {
+			phase: Shift, answer: Conflict, times: 3, want: Completed, by: usual,
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 5)
+			if test.behave != nil {
+				w.behave = test.behave
+			}
+			w.run(250 * time.Millisecond)
+			w.order("v2", usual)
+			failed := 0
+			w.write = func(d Decision) (Outcome, bool) {
+				down := failed < test.times || w.elapsed < test.until
+				if d.Record.Phase != test.phase || !down {
+					return Accepted, true
+				}
+				failed++
+				if test.turn {
+					w.behave = only(failing)
+				}
+				return test.answer, test.apply
+			}
+			w.run(test.by)
+			require.Positive(t, failed)
+			require.Equal(t, test.want, w.record().Phase, w.record().Reason)
+			if test.want == Reverted && test.behave != nil {
+				require.LessOrEqual(t, w.lastCandidate-w.fiftieth, limits.Rollback)
+				require.LessOrEqual(t, float64(w.sent["v2"]), 0.1*float64(w.total)+50)
+			}
+		})
+	}
+}
+
+// TestLaggingView guards against a holder that writes the same record again, or stops the
+// permits, while its view does not show what it wrote.
+func TestLaggingView(t *testing.T) {
+	for name, told := range map[string]uint64{"revision unknown": 0, "revision known": 5} {
+		t.Run(name, func(t *testing.T) {
+			d := NewDecider(limits)
+			in := Input{
+				Fencing: 1,
+				Orders:  []Order{{Service: "bench", To: "v2", Duration: usual, Revision: 4}},
+				Servers: map[string]map[string]Servers{
+					"bench": {"v1": {Count: 1, Slots: 1}, "v2": {Count: 1, Slots: 1}},
+				},
+			}
+			first := d.Decide(start, in)
+			require.Len(t, first, 1)
+			require.True(t, first[0].Write)
+			first[0].Written = told
+			d.Written(start, first[0], Accepted)
+			for i := range 4 {
+				next := d.Decide(start.Add(time.Duration(i)*250*time.Millisecond), in)
+				require.Len(t, next, 1)
+				require.False(t, next[0].Write)
+				require.True(t, next[0].Permit)
+				require.Equal(t, Trial, next[0].Record.Phase)
+				require.Equal(t, told, next[0].Revision)
+			}
+			again := d.Decide(start.Add(settleTime+time.Second), in)
+			require.True(t, again[0].Write, "the record is gone")
+		})
+	}
+}
+
+// TestPartitionedInstance guards against exposure at an instance that hears nothing of a
+// reverted version.
+func TestPartitionedInstance(t *testing.T) {
+	w := started(t, 2*time.Second)
+	cut := w.nodes[0]
+	cut.cut = true
+	w.behave = only(failing)
+	w.run(5 * time.Second)
+	require.Equal(t, Reverted, w.record().Phase)
+	order, phase := cut.gate.Applied("bench")
+	require.Equal(t, w.record().Order, order)
+	require.Equal(t, Trial, phase, "it did not hear of it")
+	require.LessOrEqual(t, w.lastCandidate-w.fiftieth, limits.Rollback)
+	before := w.sent["v2"]
+	w.run(2 * time.Second)
+	require.Equal(t, before, w.sent["v2"])
+}
--- a/serving/version/rollout/gate.go
+++ b/serving/version/rollout/gate.go
@@ -178,13 +178,21 @@
 	if !l.pending() {
 		return barred
 	}
-	completed := l.record.Phase == Completed && l.record.To == l.order.To
-	if l.restrict && !completed {
+	if l.restrict && !l.trusted() {
 		barred = with(barred, l.order.To)
 	}
 	return barred
 }
 
+// trusted tells whether the newest order names the one version that the record leaves in use.
+// Without it nothing would serve until the order has a record.
+func (l *lane) trusted() bool {
+	if l.record.Phase == Completed {
+		return l.record.To == l.order.To
+	}
+	return l.held && len(l.record.From) == 1 && l.record.From[0] == l.order.To
+}
+
 // Permit takes in the holder's permits. Now is of the boot clock, which goes on while the
 // instance is suspended.
 func (g *Gate) Permit(now time.Time, permits []Permit) {
--- a/serving/version/rollout/gate_test.go
+++ b/serving/version/rollout/gate_test.go
@@ -153,6 +153,12 @@
 			},
 			want: Pick{Not: []string{"v0", "v1"}},
 		},
+		"ordered back in trial": {
+			state: func(s *State) {
+				s.Orders[0] = Order{Service: "bench", To: "v1", Duration: time.Second, Revision: 9}
+			},
+			want: Pick{Not: []string{"v0", "v2"}},
+		},
 		"ordered again after completion": {
 			state: func(s *State) { s.Records[0].Phase, s.Orders[0].Revision = Completed, 9 },
 			want:  Pick{Not: []string{"v0", "v1"}},
--- /dev/null
+++ b/serving/version/rollout/orders_test.go
@@ -0,0 +1,234 @@
+package rollout
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const usual = 12 * time.Second
+
+func failing(simulated) outcome { return outcome{failed: true} }
+
+// started returns a world with an order of v2 that has run for a time.
+func started(t *testing.T, ran time.Duration) *world {
+	w := newWorld(t, 5)
+	w.run(250 * time.Millisecond)
+	w.order("v2", usual)
+	w.run(ran)
+	return w
+}
+
+// TestOrdersThatChange guards against a roll-out that goes on for an order that is no longer
+// there, and against a new order that takes over what was decided for another.
+func TestOrdersThatChange(t *testing.T) {
+	tests := map[string]struct {
+		ran    time.Duration
+		behave func(simulated) outcome
+		quiet  bool // no requests before the change
+		change func(w *world)
+		run    time.Duration
+		want   Record // Phase, To, Reason, Barred, From and Withdrawn
+		steps  []Step // after the change
+	}{
+		"replaced in trial": {
+			ran: 3 * time.Second,
+			change: func(w *world) {
+				w.servers["v3"] = 20
+				w.order("v3", usual)
+			},
+			run: 5 * time.Second,
+			want: Record{
+				Phase: Trial, To: "v3", From: []string{"v1"}, Barred: []string{"v2"},
+			},
+			steps: []Step{StepTrial},
+		},
+		"replaced after completion": {
+			ran: usual,
+			change: func(w *world) {
+				w.servers["v1"], w.servers["v3"] = 0, 20
+				w.order("v3", usual)
+			},
+			run: usual,
+			want: Record{
+				Phase: Completed, To: "v3", Reason: "good",
+				From: []string{"v2"}, Barred: []string{"v1"},
+			},
+			steps: []Step{StepTrial, StepShift, StepCompleted},
+		},
+		"ordered back in trial": {
+			ran:    3 * time.Second,
+			change: func(w *world) { w.order("v1", usual) },
+			run:    time.Second,
+			want: Record{
+				Phase: Completed, To: "v1", Reason: "only version", Barred: []string{"v2"},
+			},
+			steps: []Step{StepCompleted},
+		},
+		"repeated in trial starts again": {
+			ran:    6 * time.Second,
+			change: func(w *world) { w.order("v2", usual) },
+			run:    6 * time.Second,
+			want:   Record{Phase: Trial, To: "v2", From: []string{"v1"}},
+			steps:  []Step{StepTrial},
+		},
+		"repeated after completion": {
+			ran:    usual,
+			change: func(w *world) { w.order("v2", usual) },
+			run:    500 * time.Millisecond,
+			want: Record{
+				Phase: Completed, To: "v2", Reason: "completed before", From: []string{"v1"},
+			},
+			steps: []Step{StepRepeated},
+		},
+		"repeated after a bad verdict": {
+			ran: 5 * time.Second, behave: only(failing),
+			change: func(w *world) {
+				w.behave = only(func(simulated) outcome { return outcome{} })
+				w.order("v2", usual)
+			},
+			run: usual,
+			want: Record{
+				Phase: Reverted, To: "v2", Bad: true, Reason: "bad: failures", From: []string{"v1"},
+			},
+			steps: []Step{StepRepeated},
+		},
+		"withdrawn and ordered again after a bad verdict": {
+			ran: 5 * time.Second, behave: only(failing),
+			change: func(w *world) {
+				w.behave = only(func(simulated) outcome { return outcome{} })
+				w.order("", 0)
+				w.run(500 * time.Millisecond)
+				w.order("v2", usual)
+			},
+			run:   usual,
+			want:  Record{Phase: Completed, To: "v2", Reason: "good", From: []string{"v1"}},
+			steps: []Step{StepWithdrawn, StepTrial, StepShift, StepCompleted},
+		},
+		"repeated after too few answers": {
+			ran: usual, quiet: true,
+			change: func(w *world) {
+				w.rate = 4
+				w.order("v2", usual)
+			},
+			run:   usual,
+			want:  Record{Phase: Completed, To: "v2", Reason: "good", From: []string{"v1"}},
+			steps: []Step{StepTrial, StepShift, StepCompleted},
+		},
+		"ordered back after a bad verdict": {
+			ran: 5 * time.Second, behave: only(failing),
+			change: func(w *world) { w.order("v1", usual) },
+			run:    time.Second,
+			want: Record{
+				Phase: Completed, To: "v1", Reason: "only version", Barred: []string{"v2"},
+			},
+			steps: []Step{StepCompleted},
+		},
+		"withdrawn in trial": {
+			ran:    3 * time.Second,
+			change: func(w *world) { w.order("", 0) },
+			run:    time.Second,
+			want: Record{
+				Phase: Reverted, To: "v2", Reason: "withdrawn", Withdrawn: true, From: []string{"v1"},
+			},
+			steps: []Step{StepWithdrawn},
+		},
+		"withdrawn after completion": {
+			ran:    usual,
+			change: func(w *world) { w.order("", 0) },
+			run:    time.Second,
+			want:   Record{Phase: Completed, To: "v2", Reason: "good", From: []string{"v1"}},
+		},
+		"unreadable in trial goes on": {
+			ran: 3 * time.Second,
+			change: func(w *world) {
+				w.rev++
+				w.orders = []Order{{Service: "bench", Revision: w.rev}}
+			},
+			run:   9 * time.Second,
+			want:  Record{Phase: Completed, To: "v2", Reason: "good", From: []string{"v1"}},
+			steps: []Step{StepUnreadable, StepShift, StepCompleted},
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, 5)
+			if test.behave != nil {
+				w.behave = test.behave
+			}
+			if test.quiet {
+				w.rate = 0
+			}
+			w.run(250 * time.Millisecond)
+			w.order("v2", usual)
+			w.run(test.ran)
+			w.steps = nil
+			test.change(w)
+			w.run(test.run)
+			got := w.record()
+			require.Equal(t, test.want.Phase, got.Phase, got.Reason)
+			require.Equal(t, test.want.To, got.To)
+			require.Contains(t, got.Reason, test.want.Reason)
+			require.ElementsMatch(t, test.want.From, got.From)
+			require.ElementsMatch(t, test.want.Barred, got.Barred)
+			require.Equal(t, test.want.Withdrawn, got.Withdrawn)
+			require.Equal(t, test.want.Bad, got.Bad)
+			require.Equal(t, test.steps, w.stepNames())
+			before := w.sent["v2"]
+			w.run(time.Second)
+			if got.Phase == Reverted || got.To != "v2" {
+				require.Equal(t, before, w.sent["v2"], "v2 is barred")
+			}
+			require.Zero(t, w.refused)
+		})
+	}
+}
+
+// TestTwoAtOnce guards against a roll-out that waits for, or is judged by, that of another
+// service, and against decisions in a random order.
+func TestTwoAtOnce(t *testing.T) {
+	in := Input{Fencing: 1, Servers: make(map[string]map[string]Servers)}
+	var evidence [2]Evidence
+	for i, service := range []string{"bench", "atlas"} {
+		in.Orders = append(in.Orders, Order{
+			Service: service, To: "v2", Duration: usual, Revision: uint64(10 + i),
+		})
+		in.Servers[service] = map[string]Servers{"v1": {Count: 4, Slots: 40}, "v2": {Count: 4, Slots: 40}}
+	}
+	d := NewDecider(limits)
+	stored := make(map[string]Stored)
+	now := start
+	for range 48 {
+		now = now.Add(250 * time.Millisecond)
+		in.Records, in.Reports = nil, nil
+		for i, service := range []string{"bench", "atlas"} {
+			if s, ok := stored[service]; ok {
+				in.Records = append(in.Records, s)
+			}
+			for range 20 {
+				evidence[i].change("review", "", false, func(t *Tally) { t.answered(false, 1, 1) })
+			}
+			for range 2 {
+				evidence[i].change("review", "s1", true, func(t *Tally) { t.answered(i == 1, 1, 1) })
+			}
+			in.Reports = append(in.Reports, Report{
+				Service: service, Order: uint64(10 + i), Instance: "a", Incarnation: 1,
+				Applied: stored[service].Phase, Evidence: evidence[i].Clone(),
+			})
+		}
+		decisions := d.Decide(now, in)
+		for i, decision := range decisions {
+			if i > 0 {
+				require.Less(t, decisions[i-1].Record.Service, decision.Record.Service)
+			}
+			if decision.Write {
+				service := decision.Record.Service
+				stored[service] = Stored{Record: decision.Record, Revision: stored[service].Revision + 1}
+				d.Written(now, decision, Accepted)
+			}
+		}
+	}
+	require.Equal(t, Completed, stored["bench"].Phase, stored["bench"].Reason)
+	require.Equal(t, Reverted, stored["atlas"].Phase, stored["atlas"].Reason)
+}
