--- a/entry/relay/versions_test.go
+++ b/entry/relay/versions_test.go
@@ -53,7 +53,7 @@
 func (others) Began(string)                                               {}
 func (others) Asked(time.Time, route.Backend, backpressure.Asked)         {}
 func (others) Admitted(time.Time, string, int)                            {}
-func (others) Admit(context.Context, string, string, int) (string, error) { return "", nil }
+func (others) Admit(context.Context, string, string, int, int) (string, error) { return "", nil }
 
 // told is Picks and Outcomes that keep what they are told.
 type told struct {
