Let new servers without cached prompts take their estimate for the first event

Cause (by reading): a server that was just started reads prompts that the old version's servers have cached. Their ratios differ by three and more, so that a good version looks slow at its start and would be reverted. Change: a first answer is slow from 2.5 times its estimate on at least. Test: two cases of TestJudge; the good one fails without the change.

--- a/serving/version/rollout/verdict.go
+++ b/serving/version/rollout/verdict.go
@@ -13,6 +13,10 @@
 	// slowFactor is how many times the old version's median ratio counts as slow. Ratios of one
 	// version spread by less than this on an engine that isn't short of work.
 	slowFactor = 2.5
+	// slowFirstLeast is the least ratio from which a first answer is slow. Servers that were just
+	// started hold no prompts and take their estimate for the first event, while those of the old
+	// version take a part of it: a multiple of that part alone would make every start look slow.
+	slowFirstLeast = 2.5
 	// confidence is that of the upper end of the old version's rate.
 	confidence = 0.95
 	// failureMargin and slowMargin are added to the old version's rate. Times vary more between
@@ -72,13 +76,15 @@
 type kind struct {
 	name   string
 	margin float64
+	// least is the least ratio that counts as slow.
+	least float64
 	// times returns the histograms of a tally, cumulative and waiting; nil counts failures.
 	times func(t Tally) (histogram, waiting []int)
 }
 
 var kinds = []kind{
 	{name: "failures", margin: failureMargin},
-	{name: "first", margin: slowMargin, times: func(t Tally) (histogram, waiting []int) {
+	{name: "first", margin: slowMargin, least: slowFirstLeast, times: func(t Tally) (histogram, waiting []int) {
 		return t.First, t.Waiting
 	}},
 	{name: "whole", margin: slowMargin, times: func(t Tally) (histogram, waiting []int) {
@@ -111,7 +117,11 @@
 		return 0
 	}
 	histogram, _ := k.times(old)
-	return slowFactor * median(histogram)
+	usual := median(histogram)
+	if usual == 0 {
+		return 0
+	}
+	return max(slowFactor*usual, k.least)
 }
 
 // sample is one kind's counts in all routes and servers.
--- a/serving/version/rollout/verdict_test.go
+++ b/serving/version/rollout/verdict_test.go
@@ -12,8 +12,10 @@
 	n, failed, slow int
 	// slowBy is the ratio of the slow ones, first or whole.
 	first, whole float64
-	waiting      int
-	servers      int
+	// usualFirst is the first ratio of the others, 1 when it is 0.
+	usualFirst float64
+	waiting    int
+	servers    int
 	// crashed tells that all failures are of one server.
 	crashed bool
 }
@@ -26,6 +28,9 @@
 			server = 0
 		}
 		first, whole := 1.0, 1.0
+		if c.usualFirst > 0 {
+			first = c.usualFirst
+		}
 		if i >= c.failed && i < c.failed+c.slow {
 			first, whole = max(c.first, 1), max(c.whole, 1)
 		}
@@ -97,6 +102,12 @@
 		"slow": {
 			candidate: cohort{n: 40, slow: 30, first: 5}, old: old, want: Bad, test: "first",
 		},
+		"good, but holds no prompts yet": {
+			candidate: cohort{n: 200}, old: cohort{n: 500, failed: 2, usualFirst: 0.3}, want: Good,
+		},
+		"slow, and holds no prompts yet": {
+			candidate: cohort{n: 40, slow: 30, first: 4}, old: cohort{n: 500, failed: 2, usualFirst: 0.3}, want: Bad, test: "first",
+		},
 		"slow by whole answers": {
 			candidate: cohort{n: 40, slow: 30, whole: 5}, old: old, want: Bad, test: "whole",
 		},
