Add the package scarcity: who is refused while capacity is short

When callers compete for too little capacity every request was admitted and late. The package decides by the estimate of the routing table: beyond the deadline, giving way to more urgent late requests while crowded, even shares of accounts, one in ten for everyone, repeats counted three times. Retry-after times fill half of the measured rate, so that refused callers make no second wave.

--- /dev/null
+++ b/serving/request/scarcity/scarcity_test.go
@@ -0,0 +1,228 @@
+package scarcity_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"papayaport.dev/serving/request/scarcity"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+func half() float64 { return 0.5 }
+
+// one returns a request of 1,000 tokens with a target of 1 s and 10 s left.
+func one(rank int, account string, first time.Duration) scarcity.Ask {
+	return scarcity.Ask{
+		Service: "s", Account: account, Rank: rank, Tokens: 1000, Left: 10 * time.Second, Target: time.Second, First: first,
+	}
+}
+
+const (
+	inTime = 500 * time.Millisecond
+	late   = 2 * time.Second
+)
+
+// step asks some times for the same request, with a pause behind each.
+type step struct {
+	ask   scarcity.Ask
+	times int
+	pause time.Duration
+}
+
+func play(table *scarcity.Table, now time.Time, steps []step) (time.Time, []scarcity.Verdict) {
+	var verdicts []scarcity.Verdict
+	for _, s := range steps {
+		for range s.times {
+			verdicts = append(verdicts, table.Admit(now, s.ask))
+			now = now.Add(s.pause)
+		}
+	}
+	return now, verdicts
+}
+
+// TestRules guards each rule by a request that it refuses, and beside it one that it must not.
+func TestRules(t *testing.T) {
+	const pause = 10 * time.Millisecond
+	crowd := []step{{one(0, "a", late), 10, pause}}
+	hot := []step{{one(0, "hot", late), 30, pause}, {one(0, "b", late), 1, pause}, {one(0, "c", late), 1, pause}}
+	repeated := one(0, "a", 11*time.Second)
+	repeated.Request = 7
+	var ofRank, ofAccount []step
+	for i := 1; i <= 9; i++ {
+		ofRank = append(ofRank, step{one(1, fmt.Sprint(i), late), 1, pause})
+		ofAccount = append(ofAccount, step{one(i, "b", late), 1, pause})
+	}
+	plain := one(0, "a", inTime)
+	plain.Whole = 11 * time.Second
+	atOnce := one(0, "a", 11*time.Second)
+	for name, test := range map[string]struct {
+		before []step
+		ask    scarcity.Ask
+		reason scarcity.Reason
+	}{
+		"1: first event behind the deadline":                {nil, atOnce, scarcity.Deadline},
+		"1: whole response behind the deadline":             {nil, plain, scarcity.Deadline},
+		"1: goes before 2":                                  {crowd, one(5, "a", 11*time.Second), scarcity.Deadline},
+		"1: late, but before the deadline":                  {nil, one(0, "a", 9*time.Second), scarcity.Served},
+		"2: gives way to a more urgent one":                 {crowd, one(1, "a", late), scarcity.GivesWay},
+		"2: the most urgent rank stays":                     {crowd, one(0, "a", late), scarcity.Served},
+		"2: within its target, whatever its rank":           {crowd, one(9, "a", inTime), scarcity.Served},
+		"2: no target":                                      {crowd, scarcity.Ask{Service: "s", Rank: 9, First: late, Left: 10 * time.Second}, scarcity.Served},
+		"2: the more urgent ones are in time":               {append([]step{{one(0, "a", inTime), 5, pause}}, step{one(1, "a", late), 10, pause}), one(1, "a", late), scarcity.Served},
+		"2: the more urgent one was late over a second ago": {append(crowd[:1:1], step{one(1, "a", late), 8, 140 * time.Millisecond}), one(1, "a", late), scarcity.Served},
+		"2: another service":                                {[]step{{scarcity.Ask{Service: "other", Target: 1, First: 2, Left: 3}, 10, pause}}, one(1, "a", late), scarcity.Served},
+		"2: not crowded at a quarter":                       {[]step{{one(0, "a", inTime), 30, pause}, {one(0, "a", late), 9, pause}}, one(1, "a", late), scarcity.Served},
+		"2: crowded above a third":                          {[]step{{one(0, "a", inTime), 30, pause}, {one(0, "a", late), 20, pause}}, one(1, "a", late), scarcity.GivesWay},
+		"2: stays crowded at a quarter":                     {append(crowd[:1:1], step{one(0, "a", inTime), 30, pause}), one(1, "a", late), scarcity.GivesWay},
+		"2: calm below a sixth":                             {append(crowd[:1:1], step{one(0, "a", inTime), 80, pause}), one(1, "a", late), scarcity.Served},
+		"3: over twice its even share":                      {hot, one(0, "hot", late), scarcity.Share},
+		"3: another account":                                {hot, one(0, "b", late), scarcity.Served},
+		"3: within its target":                              {hot, one(0, "hot", inTime), scarcity.Served},
+		"3: the only account":                               {crowd, one(0, "a", late), scarcity.Served},
+		"3: long ago":                                       {append(hot[:3:3], step{one(0, "b", late), 40, 300 * time.Millisecond}, step{one(0, "c", late), 40, pause}), one(0, "hot", late), scarcity.Served},
+		"4: nine refused before":                            {append(crowd[:1:1], step{one(1, "a", late), 9, pause}), one(1, "a", late), scarcity.Floor},
+		"4: nine refused of its rank":                       {append(crowd[:1:1], ofRank...), one(1, "a", late), scarcity.Floor},
+		"4: nine refused of its account":                    {append(crowd[:1:1], ofAccount...), one(1, "b", late), scarcity.Floor},
+		"5: early repeats are no demand":                    {[]step{{one(0, "a", inTime), 5, pause}, {repeated, 20, pause}}, one(1, "a", late), scarcity.Served},
+		"2: no crowd of one":                                {[]step{{one(0, "a", late), 1, 900 * time.Millisecond}}, one(1, "a", late), scarcity.Served},
+		"4: rule 1 still applies":                           {append(crowd[:1:1], step{one(1, "a", late), 9, pause}), one(1, "a", 11*time.Second), scarcity.Deadline},
+		"ranks beyond the last":                             {crowd, one(99, "a", late), scarcity.GivesWay},
+	} {
+		t.Run(name, func(t *testing.T) {
+			table := scarcity.New(half)
+			now, _ := play(table, start, test.before)
+			verdict := table.Admit(now, test.ask)
+			require.Equal(t, test.reason, verdict.Reason)
+			require.Equal(t, test.reason == scarcity.Served || test.reason == scarcity.Floor, verdict.Admitted)
+			require.Equal(t, verdict.Admitted, verdict.After == 0)
+		})
+	}
+}
+
+// TestNobodyStarves guards rule 4: in a lasting crowd a rank and an account that lose against
+// others still get one in ten.
+func TestNobodyStarves(t *testing.T) {
+	table := scarcity.New(half)
+	admitted := map[string]int{}
+	now := start
+	for range 1000 {
+		for _, ask := range []scarcity.Ask{one(0, "hot", late), one(0, "hot", late), one(0, "hot", late), one(0, "hot", late), one(0, "a", late), one(0, "b", late), one(9, "c", late)} {
+			if table.Admit(now, ask).Admitted {
+				admitted[ask.Account]++
+			}
+			now = now.Add(time.Millisecond)
+		}
+	}
+	require.GreaterOrEqual(t, admitted["hot"], 400)
+	require.GreaterOrEqual(t, admitted["c"], 100)
+	require.Less(t, admitted["c"], 110)
+}
+
+// TestRepeatsCountAgainstTheShare guards rule 5: of two accounts with the same demand beside
+// a third, the one whose callers repeat at once gets less, and its repeats are told the same moment.
+func TestRepeatsCountAgainstTheShare(t *testing.T) {
+	table := scarcity.New(half)
+	admitted, refused := map[string]int{}, map[string]int{}
+	now := start
+	for i := range 600 {
+		for a, account := range []string{"obeys", "repeats", "a", "b", "c"} {
+			ask := one(0, account, late)
+			ask.Request = uint64(1 + 10*i + a)
+			if i%2 == 0 {
+				ask.First = 11 * time.Second // one half is refused for its deadline
+			}
+			first := table.Admit(now, ask)
+			now = now.Add(2 * time.Millisecond)
+			if account == "repeats" && !first.Admitted {
+				again := table.Admit(now, ask)
+				require.Equal(t, !again.Admitted, again.After > 0)
+				if !again.Admitted {
+					require.True(t, again.Repeat)
+					require.InDelta(t, first.After, again.After+2*time.Millisecond, float64(time.Millisecond))
+				}
+			}
+			if first.Admitted {
+				admitted[account]++
+			}
+			if first.Reason == scarcity.Share {
+				refused[account]++
+			}
+		}
+	}
+	require.Equal(t, 300, admitted["obeys"])
+	require.Less(t, admitted["repeats"], 150, "refused over the share: %v", refused)
+}
+
+// TestAfter guards that urgent ranks come back first and that no two parts of the spread overlap.
+func TestAfter(t *testing.T) {
+	for name, test := range map[string]struct {
+		draw     float64
+		rank     int
+		from, to time.Duration
+	}{
+		"most urgent, first":  {0, 0, 10 * time.Second, 10 * time.Second},
+		"most urgent, last":   {0.999, 0, 12 * time.Second, 12500 * time.Millisecond},
+		"least urgent, first": {0, 4, 12500 * time.Millisecond, 12500 * time.Millisecond},
+		"least urgent, last":  {0.999, 4, 14900 * time.Millisecond, 15 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			table := scarcity.New(func() float64 { return test.draw })
+			now, _ := play(table, start, []step{{one(0, "a", inTime), 20, time.Millisecond}, {one(4, "a", inTime), 20, time.Millisecond}})
+			after := table.Admit(now, one(test.rank, "a", 11*time.Second)).After
+			require.GreaterOrEqual(t, after, test.from)
+			require.LessOrEqual(t, after, test.to)
+		})
+	}
+}
+
+// TestNotRunGivesBack guards that a request which no server ran takes nothing of its account's share.
+func TestNotRunGivesBack(t *testing.T) {
+	for name, test := range map[string]struct {
+		ran    bool
+		reason scarcity.Reason
+	}{"ran": {true, scarcity.Share}, "not run": {false, scarcity.Served}} {
+		t.Run(name, func(t *testing.T) {
+			table := scarcity.New(half)
+			for range 30 {
+				if table.Admit(start, one(0, "hot", late)).Admitted {
+					table.Done(start, one(0, "hot", late), test.ran)
+				}
+			}
+			for _, account := range []string{"b", "c"} {
+				require.True(t, table.Admit(start, one(0, account, late)).Admitted)
+			}
+			require.Equal(t, test.reason, table.Admit(start, one(0, "hot", late)).Reason)
+		})
+	}
+}
+
+// TestBoundedState guards that any number of names and a clock that goes back neither grow the
+// state without end nor refuse a request that is in time.
+func TestBoundedState(t *testing.T) {
+	table := scarcity.New(half)
+	for i := range 20_000 {
+		ask := one(i, fmt.Sprint("account-", i), late)
+		ask.Service, ask.Request = fmt.Sprint("s", i%200), uint64(i+1)
+		table.Admit(start.Add(-time.Duration(i)*time.Millisecond), ask)
+	}
+	require.True(t, table.Admit(start, one(9, "a", inTime)).Admitted)
+	require.False(t, table.Crowded(start, "unknown"))
+	services, accounts, returns := scarcity.Sizes(table)
+	require.LessOrEqual(t, services, 64)
+	require.LessOrEqual(t, accounts, 1024)
+	require.LessOrEqual(t, returns, 4096)
+}
+
+func BenchmarkAdmit(b *testing.B) {
+	table := scarcity.New(half)
+	for i := range 1024 {
+		table.Admit(start, one(0, fmt.Sprint(i), late))
+	}
+	for i := range b.N {
+		table.Admit(start.Add(time.Duration(i)*time.Microsecond), one(1, "1", late))
+	}
+}
--- /dev/null
+++ b/serving/request/scarcity/service.go
@@ -0,0 +1,200 @@
+package scarcity
+
+import (
+	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+)
+
+const (
+	// crowdedAbove and calmBelow are the shares of late requests between which a service stays
+	// as it is, so that a load at the edge does not switch the rules on and off.
+	crowdedAbove = 1.0 / 3
+	calmBelow    = 1.0 / 6
+	// latePeriod is the time constant of the share of late requests.
+	latePeriod = time.Second
+	// leastRequests is the smoothed number of requests below which a service is not crowded: a
+	// single late request tells of no load.
+	leastRequests = 1.5
+	// lateMemory is how long a late request of a rank makes less urgent ones give way.
+	lateMemory = time.Second
+	// presence is how long a rank or an account counts as present.
+	presence = 5 * time.Second
+	// accountPeriod is the time constant of what accounts took.
+	accountPeriod = 5 * time.Second
+	// countPeriod is the time between two counts of the accounts that are present; a count of
+	// 1,024 takes 34 us.
+	countPeriod = 100 * time.Millisecond
+	// fairFactor is the multiple of its even share beyond which an account gives way.
+	fairFactor = 2
+	// repeatWeight is how often a request counts whose caller came back too early.
+	repeatWeight = 3
+	// floorRun is the number of refusals in a row behind which a rank or an account gets one
+	// request admitted, so that one in ten is.
+	floorRun = 9
+)
+
+// decayed is a sum whose parts fade with time.
+type decayed struct {
+	sum float64
+	at  time.Time
+}
+
+// value returns the sum at a moment.
+func (d *decayed) value(now time.Time, period time.Duration) float64 {
+	return d.sum * fade(now.Sub(d.at), period)
+}
+
+// add adds an amount. The sum stays at 0 at least, because what is given back may have faded.
+func (d *decayed) add(now time.Time, period time.Duration, amount float64) {
+	d.sum, d.at = max(d.value(now, period)+amount, 0), now
+}
+
+// rank is the demand of one rank.
+type rank struct {
+	seenAt, lateAt time.Time
+	// refused counts the refusals in a row that are not for a deadline.
+	refused int
+}
+
+// account is the demand of a client account.
+type account struct {
+	seenAt  time.Time
+	tokens  decayed
+	refused int
+}
+
+// service is the demand for one service.
+type service struct {
+	ranks    [Ranks]rank
+	accounts *simplelru.LRU[string, *account]
+	// present is the number of accounts that are present, of counted ones at countedAt.
+	present, counted int
+	countedAt        time.Time
+	// requests and late count all requests and those beyond their target.
+	requests, late decayed
+	crowded        bool
+	// taken is the sum of what the accounts took, and admitted the prompt tokens admitted.
+	taken, admitted decayed
+	// admittedFrom is when admitted began.
+	admittedFrom time.Time
+	// booked is the moment up to which returns of refused requests fill the capacity.
+	booked time.Time
+}
+
+func newService() *service {
+	accounts, err := simplelru.NewLRU[string, *account](maxAccounts, nil)
+	must(err)
+	return &service{accounts: accounts}
+}
+
+func (s *service) account(name string) *account {
+	if a, known := s.accounts.Get(name); known {
+		return a
+	}
+	a := &account{}
+	s.accounts.Add(name, a)
+	return a
+}
+
+// note counts a request. One that came back too early is no new demand, and would otherwise
+// keep a service crowded.
+func (s *service) note(now time.Time, ask *Ask, a *account, repeat bool) {
+	r := &s.ranks[ask.Rank]
+	r.seenAt, a.seenAt = now, now
+	if repeat {
+		return
+	}
+	s.requests.add(now, latePeriod, 1)
+	late := 0.0
+	if ask.late() {
+		late, r.lateAt = 1, now
+	}
+	s.late.add(now, latePeriod, late)
+	s.crowded = s.isCrowded(now)
+}
+
+// isCrowded tells whether the service is crowded at a moment, by what it was before.
+func (s *service) isCrowded(now time.Time) bool {
+	requests := s.requests.value(now, latePeriod)
+	if requests < leastRequests {
+		return false
+	}
+	share := s.late.value(now, latePeriod) / requests
+	if s.crowded {
+		return share >= calmBelow
+	}
+	return share > crowdedAbove
+}
+
+// decide applies the rules in their order.
+func (s *service) decide(now time.Time, ask *Ask, a *account) Reason {
+	if ask.estimate() > ask.Left {
+		return Deadline
+	}
+	r := &s.ranks[ask.Rank]
+	reason := s.competition(now, ask, a)
+	if reason == Served {
+		r.refused, a.refused = 0, 0
+		return Served
+	}
+	if r.refused >= floorRun || a.refused >= floorRun {
+		r.refused, a.refused = 0, 0
+		return Floor
+	}
+	r.refused++
+	a.refused++
+	return reason
+}
+
+// competition tells whether a request that is in time for its caller gives way to others.
+func (s *service) competition(now time.Time, ask *Ask, a *account) Reason {
+	if !s.crowded || !ask.late() {
+		return Served
+	}
+	if a.tokens.value(now, accountPeriod) > fairFactor*s.evenShare(now) {
+		return Share
+	}
+	for i := range ask.Rank {
+		if within(now, s.ranks[i].lateAt, lateMemory) {
+			return GivesWay
+		}
+	}
+	return Served
+}
+
+// evenShare returns what each present account would have if all had taken the same.
+func (s *service) evenShare(now time.Time) float64 {
+	if s.counted != s.accounts.Len() || !within(now, s.countedAt, countPeriod) {
+		s.countPresent(now)
+	}
+	return s.taken.value(now, accountPeriod) / float64(max(s.present, 1))
+}
+
+func (s *service) countPresent(now time.Time) {
+	s.present, s.counted, s.countedAt = 0, s.accounts.Len(), now
+	for _, a := range s.accounts.Values() {
+		if within(now, a.seenAt, presence) {
+			s.present++
+		}
+	}
+}
+
+// take counts an admitted request against its account.
+func (s *service) take(now time.Time, ask *Ask, a *account, repeat bool) {
+	weight := 1.0
+	if repeat {
+		weight = repeatWeight
+	}
+	a.tokens.add(now, accountPeriod, weight*float64(ask.Tokens))
+	s.taken.add(now, accountPeriod, weight*float64(ask.Tokens))
+	if s.admittedFrom.IsZero() || !within(now, s.admitted.at, presence) {
+		s.admitted, s.admittedFrom = decayed{}, now
+	}
+	s.admitted.add(now, ratePeriod, float64(ask.Tokens))
+}
+
+// within tells whether a moment is known and at most a time ago.
+func within(now, moment time.Time, period time.Duration) bool {
+	return !moment.IsZero() && now.Sub(moment) <= period
+}
