Estimate a request in the routing table without a trace

A decision before the choice of a server needs the estimate of the server that would be chosen, and Choose takes a place in the limit that the server named. Choose is split, and Preview gives the estimates without a place or a turn, and nothing when only servers of last resort are left. 100 previews leave a server that named one request a second with its place; with the place taken in Preview the test fails.

--- a/serving/request/route/choose.go
+++ b/serving/request/route/choose.go
@@ -14,31 +14,41 @@
 func (t *Table) Choose(now time.Time, request Request) (Choice, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	picked, _, err := t.pick(now, request, t.policy)
+	if err != nil {
+		return Choice{}, err
+	}
+	picked.backend.asked.Take(now)
+	return Choice{
+		counted:      picked.backend.asked.Limit().Named,
+		Backend:      picked.backend.Backend,
+		CachedTokens: picked.CachedTokens,
+		FirstToken:   picked.FirstToken,
+		Cost:         picked.Cost,
+		mean:         picked.mean,
+	}, nil
+}
+
+// pick returns the server that a policy takes, and whether it is a last resort. It takes no
+// place at the server.
+func (t *Table) pick(now time.Time, request Request, policy Policy) (picked *Candidate, lastResort bool, err error) {
 	g := t.groups[request.Service]
 	if g == nil || len(g.backends) == 0 {
-		return Choice{}, problem.New(problem.NoBackend, "service %s has no live backend server", request.Service)
+		return nil, false, problem.New(problem.NoBackend, "service %s has no live backend server", request.Service)
 	}
 	t.request = request
 	t.collect(now, g)
 	if len(t.candidates) == 0 {
 		t.candidates, t.barred = t.barred, t.candidates
+		lastResort = true
 	}
 	if len(t.candidates) == 0 && t.opens > 0 {
-		return Choice{}, heldBack(request.Service, t.opens, t.random)
+		return nil, false, heldBack(request.Service, t.opens, t.random)
 	}
 	if len(t.candidates) == 0 {
-		return Choice{}, problem.New(problem.NoBackend, "all backend servers of service %s are leaving or gone", request.Service)
+		return nil, false, problem.New(problem.NoBackend, "all backend servers of service %s are leaving or gone", request.Service)
 	}
-	picked := &t.candidates[t.policy.Pick(t.candidates, &t.request, t.random)]
-	picked.backend.asked.Take(now)
-	return Choice{
-		counted:      picked.backend.asked.Limit().Named,
-		Backend:      picked.backend.Backend,
-		CachedTokens: picked.CachedTokens,
-		FirstToken:   picked.FirstToken,
-		Cost:         picked.Cost,
-		mean:         picked.mean,
-	}, nil
+	return &t.candidates[policy.Pick(t.candidates, &t.request, t.random)], lastResort, nil
 }
 
 // ask returns what the estimates of the present request have in common.
--- /dev/null
+++ b/serving/request/route/preview_test.go
@@ -0,0 +1,66 @@
+package route_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"papayaport.dev/serving/request/backpressure"
+	"papayaport.dev/serving/request/route"
+)
+
+// TestPreviewLeavesNoTrace guards that a request which is only estimated takes no place in the
+// limit that a server named, no turn, and counts nowhere as work.
+func TestPreviewLeavesNoTrace(t *testing.T) {
+	request := route.Request{Service: "model-bench", PromptTokens: 4000, AnswerTokens: 100, Target: target}
+	t.Run("limit", func(t *testing.T) {
+		table := newTable(t, route.Papayaport, 1)
+		table.SetEntries(start, only)
+		ask(table, start, id(0), backpressure.Asked{Limited: true, PerSecond: 1})
+		now := start.Add(5 * time.Second)
+		for range 100 {
+			_, known := table.Preview(now, request)
+			require.True(t, known)
+		}
+		_, err := table.Choose(now, request)
+		require.NoError(t, err)
+	})
+	t.Run("work", func(t *testing.T) {
+		table := newTable(t, route.Papayaport, 2)
+		for range 100 {
+			table.Preview(start, request)
+		}
+		require.Empty(t, table.Use())
+	})
+	t.Run("turn", func(t *testing.T) {
+		table := newTable(t, route.RoundRobin, 2)
+		for range 4 {
+			preview, known := table.Preview(start, request)
+			require.True(t, known)
+			choice, err := table.Choose(start, request)
+			require.NoError(t, err)
+			require.Equal(t, choice.Backend.ID, preview.Backend.ID)
+			require.Equal(t, choice.FirstToken, preview.FirstToken)
+			require.Greater(t, preview.Whole, preview.FirstToken+900*time.Millisecond)
+		}
+	})
+}
+
+// TestPreviewOfLastResorts guards against refusals on the estimate of servers that are only a
+// last resort.
+func TestPreviewOfLastResorts(t *testing.T) {
+	for name, test := range map[string]struct {
+		request route.Request
+		known   bool
+	}{
+		"free":       {route.Request{Service: "model-bench"}, true},
+		"excluded":   {route.Request{Service: "model-bench", Exclude: []string{id(0)}}, false},
+		"no service": {route.Request{Service: "other"}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, known := newTable(t, route.Papayaport, 1).Preview(start, test.request)
+			require.Equal(t, test.known, known)
+		})
+	}
+}
