Ask once before the first send whether a request competes for capacity

Requests that could not be served in their time were sent, and read by engines for nothing. The relay asks the package scarcity between the account's limit and the first send, for services with an engine and when the work of the fleet is known. A refusal is deadline_infeasible or queue_full, not run, with the time to come back; its log line names what it rests on. Nothing passes Known yet, so nothing is refused.

--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -169,6 +169,10 @@
 	Usage  Usage
 	Codec  Codec
 	Meters *Meters
+	// Scarcity is asked before the first send of requests to model services while Known says
+	// that the work of all entry instances is known here. Without either nothing is refused.
+	Scarcity Scarcity
+	Known    func(now time.Time) bool
 	// Entries returns the number of entry instances.
 	Entries func() int
 	// Draw returns random numbers in [0, 1).
@@ -234,6 +238,11 @@
 		run.refuse(w, problem.From(err))
 		return
 	}
+	if err := run.compete(time.Now()); err != nil {
+		run.refuse(w, problem.From(err))
+		return
+	}
+	defer run.endCompetition()
 	run.serve(request.Context(), w)
 }
 
--- a/entry/relay/run.go
+++ b/entry/relay/run.go
@@ -72,6 +72,9 @@
 	// reserved tells that a repeat was taken from the budget and not sent yet.
 	reserved atomic.Bool
 
+	// competed is the decision on the request in the present load, nil when there was none.
+	competed *competition
+
 	// What the log line tells besides.
 	asked     backpressure.Asked
 	status    int
@@ -428,6 +431,7 @@
 	}
 	if r.kind != "" {
 		fields["kind"], fields["detail"], fields["may_have_run"] = r.kind, r.detail, r.mayHaveRun
+		r.competed.addFields(fields)
 		fields["quiet_ms"] = time.Since(r.progress).Milliseconds()
 		r.relay.Log.WithFields(fields).Warn("relay: request not served")
 		return
--- /dev/null
+++ b/entry/relay/scarcity_test.go
@@ -0,0 +1,187 @@
+package relay_test
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
+	"github.com/stretchr/testify/require"
+
+	"papayaport.dev/entry/relay"
+	"papayaport.dev/serving/connection/room"
+	"papayaport.dev/serving/connection/upstream"
+	"papayaport.dev/serving/process/problem"
+	"papayaport.dev/serving/request/backpressure"
+	"papayaport.dev/serving/request/budget"
+	"papayaport.dev/serving/request/route"
+	"papayaport.dev/serving/request/scarcity"
+	"papayaport.dev/serving/version/deployment"
+)
+
+// codec is a dialect in which everything is said by the path.
+type codec struct{}
+
+func (codec) Receive(r *http.Request) (relay.Call, error) {
+	return relay.Call{
+		ID: "id", Method: r.Method, Target: r.URL.Path, Host: r.Host, Path: r.URL.Path, Key: "key", Wait: 5 * time.Second,
+		Prompt: &relay.Prompt{PromptTokens: 1000, AnswerTokens: 10, Parts: []relay.Part{{ID: 1, Tokens: 1000}}},
+	}, nil
+}
+
+func (codec) Attempt(*relay.Call, relay.Attempt) http.Header { return http.Header{} }
+
+func (codec) Answer(_ int, header http.Header) relay.Answer {
+	return relay.Answer{Valid: true, Header: header}
+}
+
+func (codec) Refuse(w http.ResponseWriter, call *relay.Call, failure *problem.Error) {
+	problem.Write(w, failure, call.ID)
+}
+
+// others stands for the parts of an entry instance that decide on nothing here.
+type others struct{ version *deployment.Version }
+
+func (o others) Current() *deployment.Version                             { return o.version }
+func (others) Began(string)                                               {}
+func (others) Asked(time.Time, route.Backend, backpressure.Asked)         {}
+func (others) Admitted(time.Time, string, int)                            {}
+func (others) Admit(context.Context, string, string, int) (string, error) { return "", nil }
+
+// decider gives one verdict and notes what it was asked.
+type decider struct {
+	verdict scarcity.Verdict
+	asked   []scarcity.Ask
+	ran     []bool
+}
+
+func (d *decider) Admit(_ time.Time, ask scarcity.Ask) scarcity.Verdict {
+	d.asked = append(d.asked, ask)
+	return d.verdict
+}
+func (d *decider) Done(_ time.Time, _ scarcity.Ask, ran bool) { d.ran = append(d.ran, ran) }
+func (d *decider) Crowded(time.Time, string) bool             { return true }
+
+// TestCompetition guards that a request is decided on once, only for model services and with the
+// work of the fleet known, and that a refused one reaches no server and takes no place at one.
+func TestCompetition(t *testing.T) {
+	refused := func(reason scarcity.Reason) scarcity.Verdict {
+		return scarcity.Verdict{Reason: reason, After: 2500 * time.Millisecond}
+	}
+	admitted := scarcity.Verdict{Admitted: true, Reason: scarcity.Served}
+	for name, test := range map[string]struct {
+		path    string
+		verdict scarcity.Verdict
+		unknown bool
+		status  int
+		asked   int
+		reached int
+		line    logrus.Fields
+		metric  string
+	}{
+		"admitted": {path: "/model/", verdict: admitted, status: 200, asked: 1, reached: 1, metric: `decisions_total{service="model",rank="3",reason="served"} 1`},
+		"deadline": {
+			path: "/model/", verdict: refused(scarcity.Deadline), status: 503, asked: 1,
+			line: logrus.Fields{"kind": problem.DeadlineInfeasible, "reason": scarcity.Deadline, "rank": 3, "target_ms": int64(800), "retry_after_ms": int64(2500)}, metric: `rank="3",reason="deadline"} 1`,
+		},
+		"gives way": {
+			path: "/model/", verdict: refused(scarcity.GivesWay), status: 503, asked: 1,
+			line: logrus.Fields{"kind": problem.QueueFull, "reason": scarcity.GivesWay}, metric: `crowded{service="model"} 1`,
+		},
+		"plain service":          {path: "/plain/", verdict: refused(scarcity.Deadline), status: 200, reached: 1},
+		"work of others unknown": {path: "/model/", verdict: refused(scarcity.Deadline), unknown: true, status: 200, reached: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			reached := 0
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				reached++
+				_, err := io.WriteString(w, "id: 1\ndata: x\n\n")
+				require.NoError(t, err)
+			}))
+			defer server.Close()
+			decides := &decider{verdict: test.verdict}
+			logger, lines := logtest.NewNullLogger()
+			set := metrics.NewSet()
+			routes := newRoutes(t, strings.TrimPrefix(server.URL, "http://"))
+			handler := relay.New(relay.Parts{
+				Versions: others{newVersion()}, Limiter: others{}, Usage: others{}, Servers: others{}, Intake: others{}, Routes: routes,
+				Budget: budget.New(budget.Limits{Window: time.Second}, time.Now()), Pool: upstream.New(upstream.Options{DialTimeout: time.Second}),
+				Room: room.New(1 << 20), Codec: codec{}, Meters: relay.NewMeters(set), Entries: func() int { return 1 }, Draw: rand.Float64,
+				Log: logrus.NewEntry(logger), Scarcity: decides, Known: func(time.Time) bool { return !test.unknown },
+			})
+			answer := httptest.NewRecorder()
+			handler.ServeHTTP(answer, httptest.NewRequest(http.MethodPost, "http://host"+test.path, nil))
+			require.Equal(t, test.status, answer.Code, answer.Body.String())
+			require.Len(t, decides.asked, test.asked)
+			require.Equal(t, test.reached, reached)
+			require.Empty(t, routes.Use())
+			for field, value := range test.line {
+				require.Equal(t, value, lines.LastEntry().Data[field], field)
+			}
+			text := &strings.Builder{}
+			set.WritePrometheus(text)
+			require.Contains(t, text.String(), test.metric)
+			if test.status == http.StatusOK {
+				require.Len(t, decides.ran, test.asked)
+				return
+			}
+			require.Empty(t, decides.ran)
+			require.Equal(t, "3", answer.Header().Get("Retry-After"))
+			require.Contains(t, answer.Body.String(), `"outcome":"not_run"`)
+			ask := decides.asked[0]
+			require.InDelta(t, 5*time.Second, ask.Left, float64(time.Second))
+			require.Greater(t, ask.First, 90*time.Millisecond) // 1,000 tokens at 10,000 a second
+			require.Zero(t, ask.Whole)
+			require.NotZero(t, ask.Request)
+			require.Equal(t, places(newRoutes(t, "")), places(routes))
+		})
+	}
+}
+
+func newVersion() *deployment.Version {
+	rank := 3
+	return deployment.New(deployment.Deployment{
+		Version: 1,
+		Routes: []deployment.Route{
+			{Name: "model", Host: "host", Prefix: "/model/", Kind: deployment.Streaming, Target: 800 * time.Millisecond, MaxAttempts: 1, Targets: []deployment.Target{{Service: "model", Weight: 1}}},
+			{Name: "plain", Host: "host", Prefix: "/plain/", Kind: deployment.Idempotent, Target: 800 * time.Millisecond, MaxAttempts: 1, Targets: []deployment.Target{{Service: "plain", Weight: 1}}},
+		},
+		Services: []deployment.Service{{Name: "model", Engine: &deployment.Engine{Slots: 8}}, {Name: "plain"}},
+		Accounts: []deployment.Account{{Name: "account", Keys: []string{"key"}, Priority: &rank}},
+	})
+}
+
+// newRoutes returns a table with one server of each service, which takes one request a second.
+func newRoutes(t *testing.T, address string) *route.Table {
+	table, err := route.New(route.Self{Region: "r", FailureDomain: "a"}, route.Papayaport, rand.New(rand.NewPCG(1, 2)))
+	require.NoError(t, err)
+	now := time.Now().Add(-10 * time.Second)
+	table.SetEntries(now, []backpressure.Entry{{FailureDomain: "a"}})
+	var backends []route.Backend
+	for _, service := range []string{"model", "plain"} {
+		backends = append(backends, route.Backend{ID: service + "-1", Incarnation: 1, Service: service, Address: address, Region: "r", FailureDomain: "a", Slots: 8, PrefillPerSec: 10_000, DecodeMS: 10})
+	}
+	table.SetBackends(now, backends)
+	for _, b := range backends {
+		table.Asked(now, now, b.ID, 1, backpressure.Asked{Limited: true, PerSecond: 1})
+	}
+	return table
+}
+
+// places returns how many requests the limit that the model server named lets through at once.
+func places(table *route.Table) int {
+	now := time.Now()
+	for taken := 0; taken < 1000; taken++ {
+		if _, err := table.Choose(now, route.Request{Service: "model"}); err != nil {
+			return taken
+		}
+	}
+	return 1000
+}
