Add the setting scarcity.enabled and wire admission into the site

The relay's decision needs a switch and a source for the fleet's work. The setting is on by default; the site says that the work of others is not known until the shared occupancy is joined, so that nothing is refused yet. Tests of site and relay pass with -race.

--- /dev/null
+++ b/entry/site/scarcity.go
@@ -0,0 +1,28 @@
+package site
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"papayaport.dev/entry/relay"
+	"papayaport.dev/serving/request/scarcity"
+)
+
+// ScarcitySettings tells whether requests to model services are refused when the estimate says
+// that they can't be served in their time, or that more urgent ones are late with them.
+type ScarcitySettings struct {
+	Enabled bool `json:"enabled"`
+}
+
+// newScarcity returns what decides in the relay, nil when the settings turn it off.
+func (s *Site) newScarcity() relay.Scarcity {
+	if !s.set.Scarcity.Enabled {
+		return nil
+	}
+	return scarcity.New(rand.Float64)
+}
+
+// workKnown tells whether this instance knows the work of the other entry instances at the
+// backend servers. Without it estimates would count this instance's own work only, so nothing
+// is refused until the shared occupancy is part of the site.
+func (s *Site) workKnown(time.Time) bool { return false }
--- a/entry/site/settings.go
+++ b/entry/site/settings.go
@@ -50,6 +50,8 @@
 	Usage UsageSettings `json:"usage"`
 	Quota QuotaSettings `json:"quota"`
 
+	Scarcity ScarcitySettings `json:"scarcity"`
+
 	// RelayedFrom is the number of entry instances from which on a few of each failure
 	// domain read the store and the others ask them.
 	RelayedFrom int `json:"relayed_from"`
@@ -130,7 +132,7 @@
 // Parse reads settings and returns all faults, each with file, field, value and what is
 // allowed.
 func Parse(file string, data []byte) (Settings, []string) {
-	set := Settings{Policy: route.Papayaport + "_no_price", LogLevel: "info", RelayedFrom: usualRelayedFrom, Quota: QuotaSettings{PooledFrom: quota.UsualPooledFrom}}
+	set := Settings{Policy: route.Papayaport + "_no_price", LogLevel: "info", RelayedFrom: usualRelayedFrom, Quota: QuotaSettings{PooledFrom: quota.UsualPooledFrom}, Scarcity: ScarcitySettings{Enabled: true}}
 	decoder := json.NewDecoder(bytes.NewReader(data))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(&set); err != nil {
--- a/entry/site/settings_test.go
+++ b/entry/site/settings_test.go
@@ -42,6 +42,25 @@
 	}
 }
 
+// TestScarcityIsOnUnlessTurnedOff guards the default and the switch.
+func TestScarcityIsOnUnlessTurnedOff(t *testing.T) {
+	for name, test := range map[string]struct {
+		data    string
+		enabled bool
+	}{
+		"not named": {goodSettings + "}", true},
+		"empty":     {goodSettings + `, "scarcity": {}}`, true},
+		"on":        {goodSettings + `, "scarcity": {"enabled": true}}`, true},
+		"off":       {goodSettings + `, "scarcity": {"enabled": false}}`, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			set, faults := Parse("entry.json", []byte(test.data))
+			require.Empty(t, faults)
+			require.Equal(t, test.enabled, (&Site{set: set}).newScarcity() != nil)
+		})
+	}
+}
+
 func TestBurstUsesAPartOfTheTolerance(t *testing.T) {
 	q := QuotaSettings{WindowS: 8, Overrun: 0.1, Slack: 100}
 	require.InDelta(t, 20+toleranceShare*(0.1*(10*8+20)+100), q.burst(10, 20), 1e-9)
--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -201,6 +201,7 @@
 		Versions: &s.keeper, Routes: s.routes, Limiter: s, Intake: s.intake, Servers: s, Budget: s.budget, Pool: s.pool, Usage: s,
 		Room:  room.New(int64(set.MemoryMB) << 20 / answerShare),
 		Codec: p.Codec, Meters: relay.NewMeters(s.meters), Entries: s.entries, Draw: rand.Float64, Log: s.part("relay"),
+		Scarcity: s.newScarcity(), Known: s.workKnown,
 	})
 	s.overdue = s.meters.NewCounter("papayaport_caller_connections_overdue_total")
 	s.poolsLost = s.meters.NewCounter("papayaport_pools_lost_total")
