Count a crowd by waiting work, and returns by what is served

In the model with several instances, whose sums are 0.3 to 0.5 s old, margins alone passed the targets: 8 instances at three quarters of the capacity refused 1,623 of 4,534 requests while their servers had room. Returns were booked by admitted tokens, of which a burst shows too many: 64 instances had 1.69 of the capacity offered behind it.

Tests fail with each of the three mechanisms removed.

--- a/entry/relay/scarcity.go
+++ b/entry/relay/scarcity.go
@@ -18,8 +18,8 @@
 // callers ask for.
 type Scarcity interface {
 	Admit(now time.Time, ask scarcity.Ask) scarcity.Verdict
-	// Done ends an admitted request and tells whether it may have run.
-	Done(now time.Time, ask scarcity.Ask, ran bool)
+	// Done tells that the answer to an admitted request began, or that it ended without one.
+	Done(now time.Time, ask scarcity.Ask, answered bool)
 	Crowded(now time.Time, service string) bool
 }
 
@@ -28,6 +28,8 @@
 	at      time.Time
 	ask     scarcity.Ask
 	verdict scarcity.Verdict
+	// ended tells that Done was called.
+	ended bool
 }
 
 // compete asks once, before the first send, whether the request is served in the present load.
@@ -48,6 +50,7 @@
 	ask := scarcity.Ask{
 		Service: r.service, Account: r.accountName(), Request: r.call.fingerprint(r.accountName()), Rank: r.priority(),
 		Left: r.deadline.Sub(now), Target: r.route.Target, First: preview.FirstToken,
+		Margin: preview.Margin, Wait: preview.Wait,
 	}
 	if p := r.call.Prompt; p != nil {
 		ask.Tokens = p.PromptTokens
@@ -56,7 +59,7 @@
 		ask.Whole = preview.Whole
 	}
 	verdict := relay.Scarcity.Admit(now, ask)
-	r.competed = &competition{now, ask, verdict}
+	r.competed = &competition{at: now, ask: ask, verdict: verdict}
 	relay.Meters.competed(relay.Scarcity, r.competed, r.route.Kind == deployment.Streaming)
 	if verdict.Admitted {
 		return nil
@@ -70,13 +73,15 @@
 		After(verdict.After)
 }
 
-// endCompetition tells how an admitted request ended.
+// endCompetition tells once whether the answer to an admitted request began. It is called at
+// the begin of the answer, and at the end of the request.
 func (r *run) endCompetition() {
 	c := r.competed
-	if c == nil || !c.verdict.Admitted {
+	if c == nil || !c.verdict.Admitted || c.ended {
 		return
 	}
-	r.relay.Scarcity.Done(time.Now(), c.ask, r.mayHaveRun)
+	c.ended = true
+	r.relay.Scarcity.Done(time.Now(), c.ask, r.firstByte > 0)
 	if r.firstByte > 0 && r.route.Kind == deployment.Streaming {
 		r.relay.Meters.observedFirst(r.service, r.firstByte-c.at.Sub(r.received))
 	}
--- a/entry/relay/stream.go
+++ b/entry/relay/stream.go
@@ -152,6 +152,7 @@
 		header[name] = values
 	}
 	r.status, r.firstByte = a.response.Status, time.Since(r.received)
+	r.endCompetition()
 	out.begun = true
 	out.w.WriteHeader(a.response.Status)
 }
--- a/serving/request/route/preview.go
+++ b/serving/request/route/preview.go
@@ -8,6 +8,9 @@
 	// FirstToken is the estimated time to the first token, at the wanted quantile, and Whole
 	// that to the end of the answer.
 	FirstToken, Whole time.Duration
+	// Margin is the part of both that is there because estimates err, and Wait the part that is
+	// the work of other requests at the server.
+	Margin, Wait time.Duration
 }
 
 // Preview estimates a request at the server that Choose would take, without a place at the
@@ -26,5 +29,10 @@
 		return Preview{}, false
 	}
 	answer := time.Duration(max(request.AnswerTokens-1, 0)) * picked.BetweenTokens
-	return Preview{Backend: picked.backend.Backend, FirstToken: picked.FirstToken, Whole: picked.FirstToken + answer}, true
+	b := picked.backend
+	alone := b.speed.prefillTime(max(request.PromptTokens-picked.CachedTokens, 0)) + picked.BetweenTokens + b.trip
+	return Preview{
+		Backend: b.Backend, FirstToken: picked.FirstToken, Whole: picked.FirstToken + answer,
+		Margin: max(picked.FirstToken-picked.mean, 0), Wait: max(picked.mean-alone, 0),
+	}, true
 }
--- a/serving/request/route/preview_test.go
+++ b/serving/request/route/preview_test.go
@@ -64,3 +64,34 @@
 		})
 	}
 }
+
+// TestPreviewTellsTheWait guards against a margin that counts as others' work: only work that is
+// at the server does.
+func TestPreviewTellsTheWait(t *testing.T) {
+	table := newTable(t, route.Papayaport, 1)
+	request := route.Request{Service: "model-bench", PromptTokens: 8000, AnswerTokens: 1, Target: target}
+	idle, known := table.Preview(start, request)
+	require.True(t, known)
+	require.Zero(t, idle.Wait)
+	choice, err := table.Choose(start, request)
+	require.NoError(t, err)
+	table.Sent(start, "a", choice, request)
+	busy, known := table.Preview(start, request)
+	require.True(t, known)
+	require.InDelta(t, time.Second, busy.Wait, float64(time.Millisecond)) // 8,000 tokens at 8,000 a second
+	require.InDelta(t, busy.FirstToken, idle.FirstToken+busy.Wait, float64(time.Millisecond))
+	for i := range 20 { // answers that err by up to a second to both sides
+		attempt := string(rune('b' + i))
+		table.Sent(start, attempt, choice, request)
+		table.FirstToken(start.Add(time.Duration(i)*100*time.Millisecond), attempt, 0)
+		table.Done(start.Add(2*time.Second), attempt, route.OK, 0)
+	}
+	table.FirstToken(start.Add(2*time.Second), "a", 0)
+	table.Done(start.Add(2*time.Second), "a", route.OK, 0)
+	table.Report(start.Add(2*time.Second), id(0), load(0))
+	unsure, known := table.Preview(start.Add(2*time.Second), request)
+	require.True(t, known)
+	require.Zero(t, unsure.Wait)
+	require.Greater(t, unsure.Margin, 200*time.Millisecond)
+	require.Greater(t, unsure.FirstToken, idle.FirstToken+200*time.Millisecond)
+}
--- a/serving/request/scarcity/after.go
+++ b/serving/request/scarcity/after.go
@@ -6,8 +6,10 @@
 )
 
 const (
-	// ratePeriod is the time constant of the measured rate of admitted prompt tokens.
-	ratePeriod = 5 * time.Second
+	// ratePeriod is the time constant of the measured rate of served prompt tokens, and
+	// shortestRate the least time that a rate is taken over, against a few early answers.
+	ratePeriod   = 5 * time.Second
+	shortestRate = time.Second
 	// returnShare is the share of that rate that returns of refused requests may fill; the rest
 	// is for requests that come for the first time.
 	returnShare = 0.5
@@ -33,31 +35,37 @@
 	return base + time.Duration(afterSpread*part*float64(base))
 }
 
-// book takes a place for the return of a request and returns the wait until then.
+// book takes a place for the return of a request and returns the wait until then. Without any
+// answer the rate of the service is not known, and no place is taken.
 func (s *service) book(now time.Time, ask *Ask) time.Duration {
+	rate := returnShare * s.rate(now)
+	if rate <= 0 {
+		return 0
+	}
 	if s.booked.Before(now) {
 		s.booked = now
 	}
-	wait := longestAfter
-	if rate := returnShare * s.rate(now, ask.estimate()); rate > 0 {
-		wait = time.Duration(min(float64(ask.Tokens)/rate, longestAfter.Seconds()) * float64(time.Second))
-	}
-	s.booked = s.booked.Add(wait)
+	wait := min(float64(ask.Tokens)/rate, longestAfter.Seconds())
+	s.booked = s.booked.Add(time.Duration(wait * float64(time.Second)))
 	if latest := now.Add(longestAfter); s.booked.After(latest) {
 		s.booked = latest
 	}
 	return s.booked.Sub(now)
 }
 
-// rate returns the prompt tokens that are served in a second. What was admitted is served by
-// the end of the present queue; a queue that was there before makes the result too low by its
-// part, which makes callers wait longer.
-func (s *service) rate(now time.Time, queue time.Duration) float64 {
-	covered := ratePeriod.Seconds()*(1-fade(now.Sub(s.admittedFrom), ratePeriod)) + queue.Seconds()
-	if covered <= 0 {
-		return 0
+// serve counts a request whose answer began.
+func (s *service) serve(now time.Time, ask *Ask) {
+	if !within(now, s.served.at, presence) {
+		s.served, s.servedFrom = decayed{}, now
 	}
-	return s.admitted.value(now, ratePeriod) / covered
+	s.served.add(now, ratePeriod, float64(ask.Tokens))
+}
+
+// rate returns the prompt tokens that are served in a second. Admitted ones would tell too much
+// in a burst, until the estimates know of it.
+func (s *service) rate(now time.Time) float64 {
+	covered := ratePeriod.Seconds() * (1 - fade(now.Sub(s.servedFrom), ratePeriod))
+	return s.served.value(now, ratePeriod) / max(covered, shortestRate.Seconds())
 }
 
 // place returns the place of a rank among those that are present, the most urgent first.
--- a/serving/request/scarcity/scarcity.go
+++ b/serving/request/scarcity/scarcity.go
@@ -15,7 +15,7 @@
 //	if !verdict.Admitted {
 //		// not run; the caller may come back after verdict.After
 //	}
-//	table.Done(now, ask, ran) // once for each admitted request
+//	table.Done(now, ask, answered) // once for each admitted request, at its first event
 //
 // # Locks
 //
@@ -39,6 +39,15 @@
 	maxAccounts = 1024
 	// maxReturns bounds the refused requests whose return is awaited, about 300 KB.
 	maxReturns = 4096
+
+	// knownShare is the share of the time left that the estimate has to take without its margin
+	// before a request counts as hopeless.
+	knownShare = 0.5
+	// waitShare is the share of its target that a late request has to wait for others' work to
+	// count towards a crowd. Where estimates err much, the margin alone passes targets at idle
+	// servers, and refusing requests helps nobody: with 8 instances and sums up to 0.5 s old a
+	// third was refused at three quarters of the capacity.
+	waitShare = 0.05
 )
 
 // Ask describes a request and the best that the routing table has for it.
@@ -58,16 +67,31 @@
 	Target time.Duration
 	// First is the estimated time to the first event at the chosen server, with its margin.
 	First time.Duration
-	// Whole is the estimated time to the whole response; 0 for streams.
+	// Whole is the estimated time to the whole response, with the margin; 0 for streams.
 	Whole time.Duration
+	// Margin is the part of First and Whole that is there because estimates err.
+	Margin time.Duration
+	// Wait is the part of First that is the work of other requests at the server.
+	Wait time.Duration
 }
 
 // estimate returns the estimated time of what the target is about.
 func (a *Ask) estimate() time.Duration { return max(a.First, a.Whole) }
 
+// hopeless tells whether the request is expected to miss its deadline, and not only by a
+// margin that may be wider than the errors at this moment.
+func (a *Ask) hopeless() bool {
+	return a.estimate() > a.Left && a.estimate()-a.Margin > time.Duration(knownShare*float64(a.Left))
+}
+
 // late tells whether the request is expected to miss its target.
 func (a *Ask) late() bool { return a.Target > 0 && a.estimate() > a.Target }
 
+// waits tells whether the request is expected to miss its target with others' work before it.
+func (a *Ask) waits() bool {
+	return a.late() && a.Wait > time.Duration(waitShare*float64(a.Target))
+}
+
 // Reason tells what decided on a request.
 type Reason string
 
@@ -150,17 +174,20 @@
 	return Verdict{Reason: reason, After: after}
 }
 
-// Done ends an admitted request. One that did not run gives back what it took of its
-// account's share.
-func (t *Table) Done(now time.Time, ask Ask, ran bool) {
+// Done tells that the answer to an admitted request began, or that it ended without one: then
+// it gives back what it took of its account's share.
+func (t *Table) Done(now time.Time, ask Ask, answered bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s, known := t.services.Peek(ask.Service)
-	if !known || ran {
+	if !known {
+		return
+	}
+	if answered {
+		s.serve(now, &ask)
 		return
 	}
 	s.taken.add(now, accountPeriod, -float64(ask.Tokens))
-	s.admitted.add(now, ratePeriod, -float64(ask.Tokens))
 	if a, known := s.accounts.Peek(ask.Account); known {
 		a.tokens.add(now, accountPeriod, -float64(ask.Tokens))
 	}
--- a/serving/request/scarcity/service.go
+++ b/serving/request/scarcity/service.go
@@ -52,6 +52,7 @@
 
 // rank is the demand of one rank.
 type rank struct {
+	// lateAt is when a request of the rank was late behind others' work.
 	seenAt, lateAt time.Time
 	// refused counts the refusals in a row that are not for a deadline.
 	refused int
@@ -71,13 +72,13 @@
 	// present is the number of accounts that are present, of counted ones at countedAt.
 	present, counted int
 	countedAt        time.Time
-	// requests and late count all requests and those beyond their target.
+	// requests and late count all requests and those late behind others' work.
 	requests, late decayed
 	crowded        bool
-	// taken is the sum of what the accounts took, and admitted the prompt tokens admitted.
-	taken, admitted decayed
-	// admittedFrom is when admitted began.
-	admittedFrom time.Time
+	// taken is the sum of what the accounts took, and served the prompt tokens of requests whose
+	// answer began, counted from servedFrom on.
+	taken, served decayed
+	servedFrom    time.Time
 	// booked is the moment up to which returns of refused requests fill the capacity.
 	booked time.Time
 }
@@ -107,7 +108,7 @@
 	}
 	s.requests.add(now, latePeriod, 1)
 	late := 0.0
-	if ask.late() {
+	if ask.waits() {
 		late, r.lateAt = 1, now
 	}
 	s.late.add(now, latePeriod, late)
@@ -129,7 +130,7 @@
 
 // decide applies the rules in their order.
 func (s *service) decide(now time.Time, ask *Ask, a *account) Reason {
-	if ask.estimate() > ask.Left {
+	if ask.hopeless() {
 		return Deadline
 	}
 	r := &s.ranks[ask.Rank]
@@ -188,10 +189,6 @@
 	}
 	a.tokens.add(now, accountPeriod, weight*float64(ask.Tokens))
 	s.taken.add(now, accountPeriod, weight*float64(ask.Tokens))
-	if s.admittedFrom.IsZero() || !within(now, s.admitted.at, presence) {
-		s.admitted, s.admittedFrom = decayed{}, now
-	}
-	s.admitted.add(now, ratePeriod, float64(ask.Tokens))
 }
 
 // within tells whether a moment is known and at most a time ago.
