--- a/entry/relay/versions_test.go
+++ b/entry/relay/versions_test.go
@@ -49,10 +49,10 @@
 // others are the parts that these tests have no use for.
 type others struct{ version *deployment.Version }
 
-func (o others) Current() *deployment.Version                             { return o.version }
-func (others) Began(string)                                               {}
-func (others) Asked(time.Time, route.Backend, backpressure.Asked)         {}
-func (others) Admitted(time.Time, string, int)                            {}
+func (o others) Current() *deployment.Version                                  { return o.version }
+func (others) Began(string)                                                    {}
+func (others) Asked(time.Time, route.Backend, backpressure.Asked)              {}
+func (others) Admitted(time.Time, string, int)                                 {}
 func (others) Admit(context.Context, string, string, int, int) (string, error) { return "", nil }
 
 // told is Picks and Outcomes that keep what they are told.
--- a/entry/site/settings.go
+++ b/entry/site/settings.go
@@ -51,6 +51,7 @@
 	Usage UsageSettings `json:"usage"`
 	Quota QuotaSettings `json:"quota"`
 
+	Scarcity ScarcitySettings `json:"scarcity"`
 	// Rollout bounds the exposure to new versions. Without it orders to roll one out are ignored.
 	Rollout *RolloutSettings `json:"rollout,omitempty"`
 
@@ -165,7 +166,7 @@
 // Parse reads settings and returns all faults, each with file, field, value and what is
 // allowed.
 func Parse(file string, data []byte) (Settings, []string) {
-	set := Settings{Policy: route.Papayaport + "_no_price", LogLevel: "info", RelayedFrom: usualRelayedFrom, Quota: QuotaSettings{PooledFrom: quota.UsualPooledFrom}}
+	set := Settings{Policy: route.Papayaport + "_no_price", LogLevel: "info", RelayedFrom: usualRelayedFrom, Quota: QuotaSettings{PooledFrom: quota.UsualPooledFrom}, Scarcity: ScarcitySettings{Enabled: true}}
 	decoder := json.NewDecoder(bytes.NewReader(data))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(&set); err != nil {
--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -234,6 +234,7 @@
 		Versions: &s.keeper, Routes: s.routes, Limiter: s, Intake: s.intake, Servers: s, Budget: s.budget, Pool: s.pool, Usage: s,
 		Room:  room.New(int64(set.MemoryMB) << 20 / answerShare),
 		Codec: p.Codec, Meters: relay.NewMeters(s.meters), Entries: s.entries, Draw: rand.Float64, Log: s.part("relay"),
+		Scarcity: s.newScarcity(), Known: s.workKnown,
 	}
 	if set.Rollout != nil {
 		s.rollouts = newRollouts(set.Rollout.limits(), s.meters)
