--- /dev/null
+++ b/serving/process/occupancy/bench_test.go
@@ -0,0 +1,118 @@
+package occupancy_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/stretchr/testify/require"
+
+	"papayaport.dev/serving/process/occupancy"
+)
+
+const (
+	largestFleet = 380
+	mostServers  = 720
+	// atTime is the number of servers at which an instance has work at a time.
+	atTime = 15
+)
+
+// filled returns a collector that heard of the largest fleet, a twentieth of it directly, and
+// the reporter and part of the last instance.
+func filled(b *testing.B) (*occupancy.Collector, *occupancy.Reporter, occupancy.Part) {
+	b.Helper()
+	collector, other := occupancy.NewCollector(), occupancy.NewCollector()
+	random := rand.New(rand.NewPCG(1, 1))
+	var reporter *occupancy.Reporter
+	var part occupancy.Part
+	for i := range largestFleet {
+		reporter = occupancy.NewReporter(fmt.Sprint("entry-", i), 1_800_000_000_000)
+		part = reporter.Next(works(random))
+		to := other
+		if i >= largestFleet-20 {
+			to = collector
+		}
+		require.NoError(b, to.Report(start, part))
+	}
+	require.NoError(b, collector.Passed(start, other.Direct(start)))
+	return collector, reporter, part
+}
+
+func works(random *rand.Rand) []occupancy.Work {
+	var out []occupancy.Work
+	for _, server := range random.Perm(mostServers)[:atTime] {
+		out = append(out, occupancy.Work{
+			Server: occupancy.ServerID(fmt.Sprint("server-", server)), Requests: 1 + random.IntN(3), Tokens: random.IntN(20_000),
+		})
+	}
+	return out
+}
+
+func encode(b *testing.B, message any) []byte {
+	b.Helper()
+	data, err := cbor.Marshal(message)
+	require.NoError(b, err)
+	return data
+}
+
+// BenchmarkMessages measures the messages of 380 instances with 720 servers, with their
+// encoding.
+func BenchmarkMessages(b *testing.B) {
+	collector, reporter, part := filled(b)
+	random := rand.New(rand.NewPCG(2, 2))
+	b.Run("report_made", func(b *testing.B) {
+		own := works(random)
+		other := occupancy.NewReporter("other", 1)
+		var data []byte
+		b.ReportAllocs()
+		for range b.N {
+			data = encode(b, occupancy.Message{Parts: []occupancy.Part{other.Next(own)}})
+		}
+		b.ReportMetric(float64(len(data)), "bytes")
+	})
+	b.Run("report_answered", func(b *testing.B) {
+		b.ReportAllocs()
+		for i := range b.N {
+			part.Serial = uint64(i + 10)
+			data := encode(b, occupancy.Message{Parts: []occupancy.Part{part}})
+			var message occupancy.Message
+			require.NoError(b, cbor.Unmarshal(data, &message))
+			require.NoError(b, collector.Report(start, message.Parts[0]))
+			data = encode(b, collector.Reply(start, message.Parts[0]))
+			b.ReportMetric(float64(len(data)), "bytes")
+		}
+	})
+	b.Run("sums_taken", func(b *testing.B) {
+		part := reporter.Next(works(random))
+		part.Serial += 1 << 40
+		require.NoError(b, collector.Report(start, part))
+		reply := collector.Reply(start, part)
+		reply.Serial = part.Serial - 1<<40
+		data := encode(b, reply)
+		b.ReportAllocs()
+		for range b.N {
+			var reply occupancy.Reply
+			require.NoError(b, cbor.Unmarshal(data, &reply))
+			taken, err := reporter.Take(start, reply)
+			require.NoError(b, err)
+			require.True(b, taken)
+		}
+		b.ReportMetric(float64(len(data)), "bytes")
+	})
+	b.Run("exchange", func(b *testing.B) {
+		other := occupancy.NewCollector()
+		b.ReportAllocs()
+		for i := range b.N {
+			parts := collector.Direct(start)
+			for j := range parts {
+				parts[j].Serial += uint64(i) // new to the other
+			}
+			data := encode(b, occupancy.Message{Passed: true, Parts: parts})
+			var message occupancy.Message
+			require.NoError(b, cbor.Unmarshal(data, &message))
+			require.NoError(b, other.Passed(start, message.Parts))
+			b.ReportMetric(float64(len(data)), "bytes")
+		}
+	})
+}
