Join the occupancy sums to the entry instances of large fleets

In fleets above 32 instances an instance knew nothing of the others' requests at a backend server, and reports of servers are old when the next request goes there.

Each instance reports its work every 200 ms to a reader of its failure domain and puts the sums of the others into the routing table by 32-bit server names, without maps or strings. Collectors exchange pairwise: one that was called in the last 150 ms does not call back. A collector that has no complete round of exchanges in the last second gives no sums. Totals of the membership do not replace fresh sums, and a server's report counts beside sums only when it is newer than they are.

Tests of route, site and occupancy pass; no fleet was measured yet.

--- a/entry/site/exchange.go
+++ b/entry/site/exchange.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"papayaport.dev/serving/connection/peer"
+	"papayaport.dev/serving/process/clock"
 	"papayaport.dev/serving/process/lease"
 	"papayaport.dev/serving/process/membership"
 )
@@ -32,7 +33,9 @@
 	}
 	s.members.SetLocal(now, local)
 	totals := s.members.Totals(now)
-	s.routes.Peers(now, totals)
+	if !s.occupied.reporter.Fresh(clock.Boot()) {
+		s.routes.Peers(now, totals)
+	}
 	s.admission.SetEntries(now, s.sharers())
 	s.setEarners()
 	s.admission.Peers(now, totals)
--- /dev/null
+++ b/entry/site/occupancy_test.go
@@ -0,0 +1,101 @@
+package site
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"papayaport.dev/serving/process/clock"
+	"papayaport.dev/serving/process/directory"
+	"papayaport.dev/serving/process/membership"
+	"papayaport.dev/serving/process/occupancy"
+	"papayaport.dev/serving/request/route"
+	"papayaport.dev/serving/version/deployment"
+)
+
+// testOccupied returns a site that lists one backend server.
+func testOccupied(t *testing.T) *Site {
+	s := newTestSite(t)
+	s.setServers(time.Now(), []directory.Server{{ID: "server", Incarnation: 1, Service: "llm"}})
+	return s
+}
+
+// asks lets one instance report to another as to its collector.
+func asks(t *testing.T, follower *occupancy.Reporter, collector *Site, requests int) (taken bool) {
+	t.Helper()
+	part := follower.Next([]occupancy.Work{{Server: occupancy.ServerID("server"), Requests: requests}})
+	taken, err := follower.Take(clock.Boot(), *collector.answerOccupancy(occupancy.Message{Parts: []occupancy.Part{part}}))
+	require.NoError(t, err)
+	return taken
+}
+
+// TestSumsOfACollector guards against sums of a collector that has just begun and does not
+// know the work of other collectors' instances yet.
+func TestSumsOfACollector(t *testing.T) {
+	one, two := testOccupied(t), testOccupied(t)
+	first, second := occupancy.NewReporter("first", 1), occupancy.NewReporter("second", 1)
+	require.False(t, asks(t, first, one, 3), "no round with the other collectors yet")
+	require.False(t, asks(t, second, two, 4))
+	passed := occupancy.Message{Passed: true, Parts: one.occupied.collector.Direct(clock.Boot()), From: "one"}
+	one.takePassed(two.answerOccupancy(passed).Parts)
+	require.True(t, two.occupied.heardLately(clock.Boot(), "one"))
+	for _, s := range []*Site{one, two} {
+		s.occupied.exchanged.Store(clock.Boot().UnixNano())
+	}
+	require.True(t, asks(t, first, one, 3))
+	others, _ := first.Others()
+	require.Equal(t, []occupancy.Work{{Server: occupancy.ServerID("server"), Requests: 4}}, others)
+	require.True(t, asks(t, second, two, 4))
+	others, _ = second.Others()
+	require.Equal(t, 3, others[0].Requests)
+	one.occupied.exchanged.Store(clock.Boot().Add(-occupancy.Life).UnixNano())
+	require.False(t, asks(t, first, one, 3), "the last round is long ago")
+}
+
+// TestFreshSumsStay guards against totals of the membership, which are older and in a large
+// fleet empty, in the place of fresh sums.
+func TestFreshSumsStay(t *testing.T) {
+	s := testOccupied(t)
+	part := s.occupied.reporter.Next(nil)
+	other := occupancy.NewReporter("other", 1)
+	collector := occupancy.NewCollector()
+	require.NoError(t, collector.Report(clock.Boot(), other.Next([]occupancy.Work{{Server: occupancy.ServerID("server"), Requests: 1, Tokens: 1 << 20}})))
+	require.NoError(t, collector.Report(clock.Boot(), part))
+	s.takeOccupancy(collector.Reply(clock.Boot(), part))
+	estimate := func() time.Duration {
+		choice, err := s.routes.Choose(time.Now(), route.Request{Service: "llm", PromptTokens: 1, AnswerTokens: 1})
+		require.NoError(t, err)
+		return choice.FirstToken
+	}
+	waiting := estimate()
+	s.tellPeers(time.Now())
+	require.InDelta(t, waiting.Seconds(), estimate().Seconds(), 1)
+	require.Eventually(t, func() bool { return !s.occupied.reporter.Fresh(clock.Boot()) }, 3*time.Second, 50*time.Millisecond)
+	s.tellPeers(time.Now())
+	require.Less(t, estimate(), time.Second, "expired sums count no more")
+}
+
+// TestCollectors guards against instances that do not agree on the collectors.
+func TestCollectors(t *testing.T) {
+	s := newTestSite(t)
+	for i := range 63 {
+		s.members.Receive(time.Now(), membership.Message{From: membership.Member{
+			Instance: fmt.Sprint("e", i), Incarnation: 1, Region: "r", FailureDomain: string(rune('a' + i%6)),
+			PeerAddress: fmt.Sprintf("10.0.0.%d:1", i), MemoryMB: 200 + i%6*100 + i,
+		}})
+	}
+	require.False(t, s.lookAtCollectors(clock.Boot()).runs, "no service with an engine")
+	engine := deployment.Service{Name: "llm", Engine: &deployment.Engine{}}
+	require.True(t, s.keeper.Adopt(deployment.Held{Version: deployment.New(deployment.Deployment{Version: 1, Services: []deployment.Service{engine}})}))
+	known := s.lookAtCollectors(clock.Boot())
+	require.True(t, known.runs)
+	readers, isReader := s.readers()
+	require.Equal(t, readers, known.asked)
+	require.Equal(t, isReader, known.isOne)
+	require.True(t, known.isOne, "the one with the most memory in its domain")
+	require.Len(t, known.others, 11, "two of each of six domains, without this one")
+	s.set.RelayedFrom = 100
+	require.False(t, s.lookAtCollectors(clock.Boot()).runs, "a small fleet")
+}
--- a/entry/site/query.go
+++ b/entry/site/query.go
@@ -8,6 +8,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
+	"papayaport.dev/serving/process/occupancy"
 	"papayaport.dev/serving/request/admission"
 	"papayaport.dev/serving/request/quota"
 )
@@ -28,6 +29,8 @@
 	Grant *grantQuery `cbor:"5,keyasint,omitempty"`
 	// Pay pays into pools, by account.
 	Pay map[string]quota.Amount `cbor:"6,keyasint,omitempty"`
+	// Occupancy tells a collector work at backend servers.
+	Occupancy *occupancy.Message `cbor:"7,keyasint,omitempty"`
 }
 
 // reply is the answer.
@@ -45,7 +48,8 @@
 	Roll     *roll      `cbor:"6,keyasint,omitempty"`
 	View     *viewReply `cbor:"7,keyasint,omitempty"`
 	// Granted tells that a pool granted the request.
-	Granted bool `cbor:"8,keyasint,omitempty"`
+	Granted   bool             `cbor:"8,keyasint,omitempty"`
+	Occupancy *occupancy.Reply `cbor:"9,keyasint,omitempty"`
 }
 
 // askPeer asks the entry instance at an address.
@@ -79,6 +83,8 @@
 	case question.Roll:
 		own := h.s.ownRoll(time.Now())
 		answered.Roll = &own
+	case question.Occupancy != nil:
+		answered.Occupancy = h.s.answerOccupancy(*question.Occupancy)
 	case question.View != nil:
 		answered.View = h.s.answerView(*question.View)
 	default:
--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -154,6 +154,7 @@
 	// rolls holds what the other instances told of their load, and told their counts; both
 	// are filled while this instance holds the duties.
 	rolls     rolls
+	occupied  *occupied
 	told      *usage.Heard
 	intake    *sizing.Intake
 	debts     debtors
@@ -192,6 +193,7 @@
 	s.own = departure.NewOwn(clock.Boot())
 	s.members = membership.New(s.self(), set.SeedPeers, seeded(), membership.DefaultBudget)
 	s.peers = peer.New(peer.DefaultOptions())
+	s.occupied = newOccupied(set.Instance, s.incarnation(), s.meters)
 	s.exchange = exchange.New(exchange.Parts{
 		Members: s.members, Peers: s.peers, Tell: s.tellPeers, Apply: s.applyChange, Log: s.part("exchange"),
 	})
@@ -233,7 +235,7 @@
 		return err
 	}
 	for _, loop := range []func(context.Context) error{
-		s.runView, s.exchange.Run, s.runRecord, s.leases.Run, s.runDuties, s.runTicks, s.runBorrow, s.runPay, s.runRoll,
+		s.runView, s.exchange.Run, s.runRecord, s.leases.Run, s.runDuties, s.runTicks, s.runBorrow, s.runPay, s.runRoll, s.runOccupancy,
 	} {
 		group.Go(func() error {
 			err := loop(running)
--- a/entry/site/views.go
+++ b/entry/site/views.go
@@ -279,12 +279,17 @@
 			domain = append(domain, member)
 		}
 	}
-	readers = rendezvous(domain, "view")
-	slices.SortStableFunc(readers, func(a, b membership.Member) int { return cmp.Compare(b.MemoryMB, a.MemoryMB) })
-	count := max(readersPerDomain, len(domain)/followersPerReader)
-	readers = readers[:min(count, len(readers))]
+	readers = readersOf(domain)
 	for _, reader := range readers {
 		isReader = isReader || reader.Instance == s.set.Instance
 	}
 	return rendezvous(readers, s.set.Instance), isReader
 }
+
+// readersOf returns the readers among the instances of a failure domain.
+func readersOf(domain []membership.Member) []membership.Member {
+	readers := rendezvous(domain, "view")
+	slices.SortStableFunc(readers, func(a, b membership.Member) int { return cmp.Compare(b.MemoryMB, a.MemoryMB) })
+	count := max(readersPerDomain, len(domain)/followersPerReader)
+	return readers[:min(count, len(readers))]
+}
--- a/serving/process/occupancy/message.go
+++ b/serving/process/occupancy/message.go
@@ -57,6 +57,8 @@
 	// Passed tells that a collector passes on the parts of the instances that report to it.
 	Passed bool   `cbor:"1,keyasint,omitempty"`
 	Parts  []Part `cbor:"2,keyasint"`
+	// From is the peer address of the collector that passes parts on.
+	From string `cbor:"3,keyasint,omitempty"`
 }
 
 // Reply is the answer to a Message: Parts to a collector, the rest to an instance.
--- a/serving/request/route/backend.go
+++ b/serving/request/route/backend.go
@@ -38,6 +38,8 @@
 	reported   bool
 	reportedAt moment
 	peersAt    moment
+	// occupied tells that peers are the sums of all entry instances.
+	occupied bool
 
 	// reportedInFlight and reportedPrefill are the last report's figures in requests and
 	// tokens.
@@ -92,7 +94,7 @@
 // setPeers takes in the other entry instances' work.
 func (b *backend) setPeers(now moment, peers membership.BackendUse) {
 	b.peers = use{inFlight: peers.InFlight, prefill: peers.PrefillTokens}
-	b.peersAt = now
+	b.peersAt, b.occupied = now, false
 }
 
 // work is how much of a server its requests take, as a mean over the last reports.
--- a/serving/request/route/estimate.go
+++ b/serving/request/route/estimate.go
@@ -42,7 +42,7 @@
 
 // reportFresh tells whether the last report still says something about the load.
 func (b *backend) reportFresh(now moment) bool {
-	return b.reported && now.since(b.reportedAt) < reportLife
+	return b.reported && now.since(b.reportedAt) < reportLife && !b.outdated()
 }
 
 // estimatedInFlight returns the requests at the server: the larger of what this and the
--- a/serving/request/route/table.go
+++ b/serving/request/route/table.go
@@ -35,6 +35,8 @@
 	// entries are all entry instances.
 	entries  []backpressure.Entry
 	backends map[string]*backend
+	// servers holds the backend servers by their names in occupancy sums.
+	servers  map[uint32]*backend
 	groups   map[string]*group
 	leaving  map[string]leavingMark
 	attempts map[string]*attempt
@@ -60,6 +62,7 @@
 		parts:    found.parts,
 		random:   random,
 		backends: map[string]*backend{},
+		servers:  map[uint32]*backend{},
 		groups:   map[string]*group{},
 		leaving:  map[string]leavingMark{},
 		attempts: map[string]*attempt{},
@@ -102,6 +105,7 @@
 	if b.own.inFlight == 0 && now.Sub(b.unlistedAt) > unlistedMemory {
 		b.group.remove(b)
 		delete(t.backends, b.ID)
+		delete(t.servers, uint32(b.hash))
 	}
 }
 
@@ -126,7 +130,7 @@
 	if mark, ok := t.leaving[b.ID]; ok && b.Incarnation <= mark.incarnation {
 		added.leaving, added.deadline = true, mark.deadline
 	}
-	t.backends[b.ID] = added
+	t.backends[b.ID], t.servers[uint32(added.hash)] = added, added
 	t.group(b.Service).add(added)
 }
 
