Place prompts among four servers where instances share sums

Instances with the same sums of the work at servers would all take the same best server at a time.

With SetWidth a request with a prompt is placed among the first servers in the rendezvous order of its home, or in a random order when less than 1,024 tokens of it are shared. Servers that are leaving, barred, excluded or asked for nothing are replaced by the next in order. Servers are ranked first, and only the few are estimated. The site sets a width of 4 together with occupancy.

--- a/entry/site/occupancy.go
+++ b/entry/site/occupancy.go
@@ -26,6 +26,9 @@
 	// collectorsPeriod is the time between two looks at who the collectors are: the members
 	// change slowly, and a look sorts all of them.
 	collectorsPeriod = time.Second
+	// choiceWidth is the number of servers among which a prompt is placed: enough to avoid a
+	// slow or full one, and few enough that instances with the same sums do not converge.
+	choiceWidth = 4
 )
 
 // occupied is the exchange of the work at backend servers.
@@ -152,6 +155,7 @@
 		now := clock.Boot()
 		if now.Sub(known.lookedAt) >= collectorsPeriod {
 			known = s.lookAtCollectors(now)
+			s.limitChoice(known.runs)
 		}
 		if known.runs {
 			s.tellOccupancy(ctx, known, &round)
@@ -159,6 +163,15 @@
 	})
 }
 
+// limitChoice limits the choice of servers for prompts where occupancy is exchanged.
+func (s *Site) limitChoice(runs bool) {
+	if runs {
+		s.routes.SetWidth(choiceWidth)
+		return
+	}
+	s.routes.SetWidth(0)
+}
+
 // tellOccupancy is one round: the report, and the exchange when this instance collects.
 func (s *Site) tellOccupancy(ctx context.Context, known *collectors, round *errgroup.Group) {
 	o := s.occupied
--- a/serving/request/route/bench_test.go
+++ b/serving/request/route/bench_test.go
@@ -74,6 +74,22 @@
 	}
 }
 
+func BenchmarkChooseAmongFour(b *testing.B) {
+	for _, count := range []int{120, 720} {
+		b.Run(fmt.Sprintf("runners=%d", count), func(b *testing.B) {
+			table, requests := filledTable(b, count)
+			table.SetWidth(4)
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				if _, err := table.Choose(start, requests[i%len(requests)]); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
 func BenchmarkBookkeeping(b *testing.B) {
 	table, requests := filledTable(b, 720)
 	ids := make([]string, 1024)
--- a/serving/request/route/choose.go
+++ b/serving/request/route/choose.go
@@ -19,7 +19,10 @@
 		return Choice{}, problem.New(problem.NoBackend, "service %s has no live backend server", request.Service)
 	}
 	t.request = request
-	t.collect(now, g)
+	if !t.narrows(g) || !t.collectNarrow(now, g) {
+		t.request.Blocks = request.Blocks
+		t.collect(now, g)
+	}
 	if len(t.candidates) == 0 {
 		t.candidates, t.barred = t.barred, t.candidates
 	}
@@ -43,6 +46,15 @@
 
 // ask returns what the estimates of the present request have in common.
 func (t *Table) ask(now time.Time, g *group) question {
+	q := t.askWithout(now, g)
+	if q.hasBlocks && t.parts.prefix {
+		q.depths = g.known.depth(t.request.Blocks)
+	}
+	return q
+}
+
+// askWithout returns the same without what is known of caches.
+func (t *Table) askWithout(now time.Time, g *group) question {
 	q := question{
 		now: at(now), request: &t.request, hasBlocks: len(t.request.Blocks) > 0,
 		answerTokens: t.request.AnswerTokens, margin: g.errors.margin(at(now), spread(t.request.Target)),
@@ -50,12 +62,8 @@
 	if q.answerTokens <= 0 {
 		q.answerTokens = usualAnswerTokens
 	}
-	if !q.hasBlocks {
-		return q
-	}
-	q.home = homeBlock(t.request.Blocks)
-	if t.parts.prefix {
-		q.depths = g.known.depth(t.request.Blocks)
+	if q.hasBlocks {
+		q.home = homeBlock(t.request.Blocks)
 	}
 	return q
 }
--- a/serving/request/route/table.go
+++ b/serving/request/route/table.go
@@ -48,6 +48,10 @@
 	// opens is when the first of the servers that Choose left out for what they asked for
 	// takes a request, 0 when there were none.
 	opens time.Duration
+	// width limits the choice for requests with a prompt, 0 when it is not limited.
+	width int
+	// holders is reused by depths.
+	holders []int
 }
 
 // New returns an empty table that chooses by the named policy.
