Learn the rate at which the engines of a service read prompts

Estimates rested on 56,000 prompt tokens a second, while engines of different deployments do 36,700 to 101,000.

The routing table takes the median of the last 256 attempts with 4,000 uncached tokens or more, of tokens ahead as estimated over the time to the first token less the round trip and one step between tokens, from 32 attempts on and within a quarter and four times the configured rate. Attempts that may have waited for a slot are left out, and servers that report a rate keep it.

--- a/serving/request/route/attempt.go
+++ b/serving/request/route/attempt.go
@@ -17,6 +17,7 @@
 	prefill int
 	// answer is the number of answer tokens that may still come.
 	answer  int
+	ahead   ahead
 	started bool
 }
 
@@ -37,6 +38,7 @@
 		backend:   b,
 		sentAt:    at(now),
 		estimated: choice.mean,
+		ahead:     choice.ahead,
 		prefill:   max(request.PromptTokens-choice.CachedTokens, 0),
 		answer:    max(request.AnswerTokens, 0),
 	}
@@ -81,6 +83,7 @@
 	a.lastToken = at(now)
 	a.backend.health.progress = a.lastToken
 	a.observe(a.lastToken)
+	a.learnRate(a.lastToken)
 }
 
 // observe compares the time to the first token with its estimate, if there was one.
--- a/serving/request/route/backend.go
+++ b/serving/request/route/backend.go
@@ -73,9 +73,7 @@
 
 // newBackend returns an incarnation without history.
 func newBackend(b Backend) *backend {
-	added := &backend{Backend: b, hash: hashID(b.ID), nextEvent: 1}
-	added.speed = newSpeed(&added.Backend, &added.load)
-	return added
+	return &backend{Backend: b, hash: hashID(b.ID), nextEvent: 1}
 }
 
 // report takes in a load report that describes a moment.
@@ -87,7 +85,7 @@
 	b.load, b.reportedAt, b.reported = load, described, true
 	b.reportedInFlight = load.Running + load.Queued
 	b.reportedPrefill = load.PrefillTokens
-	b.speed = newSpeed(&b.Backend, &b.load)
+	b.updateSpeed()
 	b.unsettled.settle(described)
 }
 
@@ -128,6 +126,7 @@
 	hot      *simplelru.LRU[prefix.Block, *hits]
 	columns  []*backend
 	errors   deviations
+	rates    rates
 }
 
 // newGroup returns a service without backend servers.
@@ -138,6 +137,7 @@
 // add gives a backend server a column.
 func (g *group) add(b *backend) {
 	b.group = g
+	b.updateSpeed()
 	g.backends = append(g.backends, b)
 	for column, other := range g.columns {
 		if other == nil {
--- a/serving/request/route/estimate.go
+++ b/serving/request/route/estimate.go
@@ -26,6 +26,14 @@
 	absoluteDeviation = 1.2533
 )
 
+// ahead is what a server does before the first token of a request, as estimated.
+type ahead struct {
+	// tokens is the number of prompt tokens to read, those of the request included.
+	tokens int
+	// slot tells that a slot has to become free.
+	slot bool
+}
+
 // question is what the estimates of one request have in common.
 type question struct {
 	now     moment
@@ -122,7 +130,9 @@
 	waiting := b.estimatedPrefill(q.now, fresh, t.parts)
 	c.Work = b.work.total()
 	c.mean = b.speed.prefillTime(waiting+uncached) + c.BetweenTokens + b.trip
-	c.mean += slotWait(c.InFlight, b.speed.slots, max(decode, b.ownLength(c.BetweenTokens)))
+	slot := slotWait(c.InFlight, b.speed.slots, max(decode, b.ownLength(c.BetweenTokens)))
+	c.mean += slot
+	c.ahead = ahead{tokens: waiting + uncached, slot: slot > 0}
 	c.FirstToken = c.mean
 	if t.parts.health {
 		c.FirstToken = max(c.mean+b.observed.lateness(q.now)+q.margin, c.mean/2) + b.stall(q.now)
--- a/serving/request/route/policy.go
+++ b/serving/request/route/policy.go
@@ -33,6 +33,7 @@
 	// FirstToken is the estimated time to the first token at the wanted quantile.
 	FirstToken time.Duration
 	mean       time.Duration
+	ahead      ahead
 	// Work is the share of the server that its requests take; see work.
 	Work float64
 	// BetweenTokens is the estimated time between tokens.
@@ -40,7 +41,7 @@
 	// Cost is the price of the instance time taken, in dollars.
 	Cost float64
 	// Rank orders the servers by rendezvous hash of the prompt's prefix; the largest is
-	// the prefix's home. It is 0 for a prompt without blocks.
+	// the prefix's home. For a prompt without blocks it is 0, or random in a limited choice.
 	Rank uint64
 }
 
--- a/serving/request/route/route.go
+++ b/serving/request/route/route.go
@@ -88,6 +88,8 @@
 	Cost float64
 	// mean is the estimated mean time to the first token.
 	mean time.Duration
+	// ahead is what the server does before the first token.
+	ahead ahead
 	// counted tells that the request has a place in the limit that the server named.
 	counted bool
 }
--- a/serving/request/route/speed.go
+++ b/serving/request/route/speed.go
@@ -33,7 +33,7 @@
 }
 
 // newSpeed derives a server's speed.
-func newSpeed(b *Backend, load *engine.Load) speed {
+func newSpeed(b *Backend, load *engine.Load, learned *rates) speed {
 	s := speed{
 		between:     time.Duration(load.DecodeMS * float64(time.Millisecond)),
 		slots:       load.Slots,
@@ -41,10 +41,7 @@
 	}
 	rate := load.PrefillPerSec
 	if rate <= 0 {
-		rate = b.PrefillPerSec
-	}
-	if rate <= 0 {
-		rate = usualPrefillPerSec
+		rate = learned.of(b.configuredRate())
 	}
 	s.prefill = float64(time.Second) / rate
 	if s.between <= 0 {
@@ -70,6 +67,14 @@
 	return s
 }
 
+// configuredRate returns the prompt tokens a second of a server that was not measured.
+func (b *Backend) configuredRate() float64 {
+	if b.PrefillPerSec > 0 {
+		return b.PrefillPerSec
+	}
+	return usualPrefillPerSec
+}
+
 // prefillTime returns the time to compute a number of prompt tokens.
 func (s *speed) prefillTime(tokens int) time.Duration {
 	return time.Duration(float64(tokens) * s.prefill)
--- a/serving/request/route/table.go
+++ b/serving/request/route/table.go
@@ -123,7 +123,7 @@
 	if known != nil && b.Incarnation == known.Incarnation && b.Service == known.Service {
 		known.Backend, known.unlisted = b, false
 		known.trip = t.self.trip(&b)
-		known.speed = newSpeed(&known.Backend, &known.load)
+		known.updateSpeed()
 		return
 	}
 	if known != nil {
