Simulate late first events with and without occupancy

The test runs 64 routing tables with collectors against 140 engines of which 15 in 100 are 2.5 times as slow for 0.6 s at a time, at half of their capacity, and requires a third fewer late first events than the blind choice. The learned rate also takes attempts at servers that report one.

--- /dev/null
+++ b/serving/request/route/occupied_fleet_test.go
@@ -0,0 +1,341 @@
+package route_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"papayaport.dev/serving/connection/engine"
+	"papayaport.dev/serving/process/occupancy"
+	"papayaport.dev/serving/request/prefix"
+	"papayaport.dev/serving/request/route"
+	"papayaport.dev/serving/version/service"
+)
+
+// The load of the simulated fleet.
+const (
+	fleetInstances  = 64
+	fleetCollectors = 12
+	fleetEngines    = 140
+	// engineRate is the number of prompt tokens that an engine reads in a second.
+	engineRate = 37_900
+	// slowFactor is how much slower an engine is at slowShare of the times, slowTime at a time.
+	slowFactor = 2.5
+	slowShare  = 0.15
+	slowTime   = 600 * time.Millisecond
+	// firstTarget is the time after which a first event is late.
+	firstTarget = 700 * time.Millisecond
+	// fleetStep is the time between two tokens of an answer.
+	fleetStep = 12 * time.Millisecond
+	// fleetWarm and fleetTime are the times before and in which streams are counted.
+	fleetWarm = 4 * time.Second
+	fleetTime = 12 * time.Second
+)
+
+// fleetSizes are prompts in tokens, drawn evenly. The mean is 7,000.
+var fleetSizes = []int{1000, 2000, 3000, 5000, 14_000, 17_000}
+
+// chooser is one way to choose an engine.
+type chooser struct {
+	policy    string
+	occupancy bool
+	width     int
+	// twoRandom takes the one of two random engines where the instance has fewer requests.
+	twoRandom bool
+}
+
+// fleetLoad is what comes to the fleet.
+type fleetLoad struct {
+	// share is the part of the engines' capacity that prompts take when nothing is cached.
+	share float64
+	// texts holds the shared parts of prompts, none when they have none.
+	texts []route.Request
+}
+
+// fleetEngine reads prompts one behind the other.
+type fleetEngine struct {
+	// busyUntil is when all prompts that are there are read.
+	busyUntil time.Duration
+	// slow holds the starts of slow times in order.
+	slow    []time.Duration
+	running int
+}
+
+// read returns when a prompt is read that begins at a time.
+func (e *fleetEngine) read(begin time.Duration, tokens float64) time.Duration {
+	left := tokens / engineRate * float64(time.Second) // at full pace
+	for _, from := range e.slow {
+		until := from + slowTime
+		if until <= begin {
+			continue
+		}
+		if before := float64(from - begin); before > 0 {
+			if left <= before {
+				break
+			}
+			left -= before
+			begin = from
+		}
+		inside := float64(until-begin) / slowFactor
+		if left <= inside {
+			return begin + time.Duration(left*slowFactor)
+		}
+		left -= inside
+		begin = until
+	}
+	return begin + time.Duration(left)
+}
+
+type fleetEvent struct {
+	at    time.Duration
+	order int
+	do    func()
+}
+
+type fleetEvents []fleetEvent
+
+func (e fleetEvents) Len() int { return len(e) }
+func (e fleetEvents) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].order < e[j].order
+}
+func (e fleetEvents) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *fleetEvents) Push(x any)   { *e = append(*e, x.(fleetEvent)) }
+func (e *fleetEvents) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// fleet is the simulation of one chooser.
+type fleet struct {
+	now        time.Duration
+	random     *rand.Rand
+	queue      fleetEvents
+	order      int
+	how        chooser
+	tables     []*route.Table
+	reporters  []*occupancy.Reporter
+	collectors []*occupancy.Collector
+	engines    []fleetEngine
+	byID       map[string]int
+	// own counts the requests of each instance at each engine.
+	own  [fleetInstances][fleetEngines]int
+	load fleetLoad
+	// cached holds the blocks at each engine.
+	cached []map[prefix.Block]bool
+	// streams and late count first events, cachedTokens and tokens prompt tokens.
+	streams, late        int
+	cachedTokens, tokens int
+}
+
+func newFleet(t *testing.T, how chooser, load fleetLoad, seed uint64) *fleet {
+	t.Helper()
+	f := &fleet{random: rand.New(rand.NewPCG(seed, 1)), how: how, byID: map[string]int{}, engines: make([]fleetEngine, fleetEngines), load: load}
+	list := backends(fleetEngines)
+	for i := range list {
+		list[i].Slots, list[i].PrefillPerSec, list[i].DecodeMS = 64, configuredRate, float64(fleetStep.Milliseconds())
+		f.byID[list[i].ID] = i
+		f.cached = append(f.cached, map[prefix.Block]bool{})
+		// Slow times begin after a full time that makes them slowShare of all, in the mean.
+		mean := float64(slowTime) * (1 - slowShare) / slowShare
+		for at := time.Duration(f.random.ExpFloat64() * mean); at < fleetWarm+2*fleetTime; at += slowTime + time.Duration(f.random.ExpFloat64()*mean) {
+			f.engines[i].slow = append(f.engines[i].slow, at)
+		}
+	}
+	for i := range fleetInstances {
+		table := seededTableOf(t, how.policy, list, seed*1000+uint64(i))
+		table.SetWidth(how.width)
+		f.tables = append(f.tables, table)
+		f.reporters = append(f.reporters, occupancy.NewReporter(fmt.Sprint("entry-", i), 1))
+		if how.occupancy {
+			f.after(time.Duration(f.random.Int64N(int64(occupancy.Period))), func() { f.report(t, i) })
+		}
+	}
+	for i := range fleetCollectors {
+		f.collectors = append(f.collectors, occupancy.NewCollector())
+		f.after(time.Duration(f.random.Int64N(int64(occupancy.Period))), func() { f.exchange(t, i) })
+	}
+	f.after(0, func() { f.arrive(t) })
+	return f
+}
+
+// seededTableOf returns a table of engines that have reported nothing.
+func seededTableOf(t *testing.T, policy string, list []route.Backend, seed uint64) *route.Table {
+	t.Helper()
+	table, err := route.New(self, policy, rand.New(rand.NewPCG(seed, 2)))
+	require.NoError(t, err)
+	table.SetBackends(start, list)
+	return table
+}
+
+func (f *fleet) after(wait time.Duration, do func()) {
+	f.order++
+	heap.Push(&f.queue, fleetEvent{f.now + wait, f.order, do})
+}
+
+func (f *fleet) time() time.Time { return start.Add(f.now) }
+
+func (f *fleet) run() {
+	for len(f.queue) > 0 && f.queue[0].at < fleetWarm+fleetTime {
+		next := heap.Pop(&f.queue).(fleetEvent)
+		f.now = next.at
+		next.do()
+	}
+}
+
+func (f *fleet) report(t *testing.T, i int) {
+	f.after(occupancy.Period, func() { f.report(t, i) })
+	part := f.reporters[i].Next(f.tables[i].Occupancy(nil))
+	collector := f.collectors[i%fleetCollectors]
+	require.NoError(t, collector.Report(f.time(), part))
+	taken, err := f.reporters[i].Take(f.time(), collector.Reply(f.time(), part))
+	require.NoError(t, err)
+	require.True(t, taken)
+	others, made := f.reporters[i].Others()
+	f.tables[i].Occupied(made, others)
+}
+
+func (f *fleet) exchange(t *testing.T, i int) {
+	f.after(occupancy.Period, func() { f.exchange(t, i) })
+	parts := f.collectors[i].Direct(f.time())
+	for j, other := range f.collectors {
+		if j != i {
+			require.NoError(t, other.Passed(f.time(), parts))
+		}
+	}
+}
+
+// arrive lets a prompt come to one of the instances.
+func (f *fleet) arrive(t *testing.T) {
+	mean := 0
+	for _, size := range fleetSizes {
+		mean += size
+	}
+	capacity := fleetEngines * engineRate * (1 - slowShare*(1-1/slowFactor))
+	perSecond := f.load.share * capacity / (float64(mean) / float64(len(fleetSizes)))
+	f.after(time.Duration(f.random.ExpFloat64()/perSecond*float64(time.Second)), func() { f.arrive(t) })
+	f.serve(t, f.random.IntN(fleetInstances), f.request(), fmt.Sprint(f.order))
+}
+
+func (f *fleet) request() route.Request {
+	size := fleetSizes[f.random.IntN(len(fleetSizes))]
+	request := route.Request{
+		Service: "model-bench", PromptTokens: size, AnswerTokens: 20 + f.random.IntN(160), Deadline: start.Add(time.Hour),
+		Target: service.LatencyTarget{FirstTokenMS: float64(firstTarget.Milliseconds()), BetweenTokensMS: 500, Quantile: 0.95},
+	}
+	if texts := f.load.texts; len(texts) > 0 {
+		blocks := texts[f.random.IntN(len(texts))].Blocks
+		request.Blocks = blocks[:min(len(blocks), size/2/prefix.BlockTokens)]
+	}
+	return request
+}
+
+func (f *fleet) choose(t *testing.T, i int, request route.Request) route.Choice {
+	if !f.how.twoRandom {
+		return choose(t, f.tables[i], f.time(), request)
+	}
+	a, b := f.random.IntN(fleetEngines), f.random.IntN(fleetEngines)
+	if f.own[i][b] < f.own[i][a] {
+		a = b
+	}
+	server, found := f.tables[i].Backend(id(a))
+	require.True(t, found)
+	return route.Choice{Backend: server}
+}
+
+// serve lets an instance send a prompt to an engine.
+func (f *fleet) serve(t *testing.T, i int, request route.Request, attempt string) {
+	table, choice := f.tables[i], f.choose(t, i, request)
+	at := f.byID[choice.Backend.ID]
+	e := &f.engines[at]
+	table.Sent(f.time(), attempt, choice, request)
+	hit := 0
+	for hit < len(request.Blocks) && f.cached[at][request.Blocks[hit]] {
+		hit++
+	}
+	for _, block := range request.Blocks {
+		f.cached[at][block] = true
+	}
+	uncached := request.PromptTokens - hit*prefix.BlockTokens
+	e.busyUntil = e.read(max(e.busyUntil, f.now), float64(uncached))
+	e.running++
+	f.own[i][at]++
+	sentAt, first := f.now, e.busyUntil+fleetStep+time.Millisecond-f.now
+	f.after(first, func() {
+		table.Report(f.time(), choice.Backend.ID, engine.Load{Incarnation: 1, Running: e.running, Slots: 64})
+		table.FirstToken(f.time(), attempt, 0)
+		if sentAt < fleetWarm {
+			return
+		}
+		f.streams++
+		f.tokens += request.PromptTokens
+		f.cachedTokens += hit * prefix.BlockTokens
+		if first > firstTarget {
+			f.late++
+		}
+	})
+	f.after(first+time.Duration(request.AnswerTokens)*fleetStep, func() {
+		table.Done(f.time(), attempt, route.OK, 0)
+		e.running--
+		f.own[i][at]--
+	})
+}
+
+// lateShare returns the share of late first events.
+func lateShare(t *testing.T, how chooser, load fleetLoad) float64 {
+	t.Helper()
+	f := newFleet(t, how, load, 1)
+	f.run()
+	late := float64(f.late) / float64(f.streams)
+	t.Logf("%s: %d streams, %.1f in 100 late, %.1f in 100 prompt tokens cached",
+		t.Name(), f.streams, 100*late, 100*float64(f.cachedTokens)/float64(f.tokens))
+	return late
+}
+
+// TestLateFirstEvents compares ways to choose an engine for the prompts of the constants above,
+// which take half of the engines' capacity. Where half of each prompt is one of 400 texts,
+// 35 in 100 tokens are cached, and more prompts come. It guards against occupancy and width
+// that do not help against the choice without knowledge of the other instances.
+func TestLateFirstEvents(t *testing.T) {
+	const usual = route.Papayaport + "_no_price"
+	random := rand.New(rand.NewPCG(7, 7))
+	var texts []route.Request
+	for range 400 {
+		texts = append(texts, syntheticText(random, 17_000/2/prefix.BlockTokens))
+	}
+	for name, load := range map[string]fleetLoad{
+		"nothing shared":             {share: 0.5},
+		"half of each prompt shared": {share: 0.5 / 0.65, texts: texts},
+	} {
+		t.Run(name, func(t *testing.T) {
+			shares := map[string]float64{}
+			for name, how := range map[string]chooser{
+				"blind":              {policy: usual},
+				"least in flight":    {policy: route.LeastInFlight},
+				"two random":         {policy: route.LeastInFlight, twoRandom: true},
+				"occupancy of all":   {policy: usual, occupancy: true},
+				"four, no occupancy": {policy: usual, width: width},
+				"occupancy and four": {policy: usual, occupancy: true, width: width},
+			} {
+				t.Run(name, func(t *testing.T) { shares[name] = lateShare(t, how, load) })
+			}
+			require.LessOrEqual(t, shares["occupancy and four"], shares["blind"]*2/3, "a third fewer")
+			require.Less(t, shares["occupancy and four"], shares["least in flight"])
+			require.Less(t, shares["occupancy and four"], shares["two random"])
+			require.Less(t, shares["occupancy and four"], shares["four, no occupancy"])
+		})
+	}
+}
+
+// syntheticText returns a text of a number of blocks.
+func syntheticText(random *rand.Rand, blocks int) route.Request {
+	var request route.Request
+	for range blocks {
+		request.Blocks = append(request.Blocks, prefix.Block(random.Uint64()))
+	}
+	return request
+}
--- a/serving/request/route/rate.go
+++ b/serving/request/route/rate.go
@@ -59,11 +59,11 @@
 	return min(max(r.median, configured/rateRange), configured*rateRange)
 }
 
-// learnRate takes in the first token of an attempt. Attempts that may have waited for a slot
-// tell nothing, nor do servers that report their rate.
+// learnRate takes in the first token of an attempt. Those that may have waited for a slot tell
+// nothing.
 func (a *attempt) learnRate(now moment) {
 	b := a.backend
-	if a.prefill < leastRateTokens || a.ahead.slot || a.ahead.tokens <= 0 || b.load.PrefillPerSec > 0 {
+	if a.prefill < leastRateTokens || a.ahead.slot || a.ahead.tokens <= 0 {
 		return
 	}
 	took := now.since(a.sentAt) - b.trip - b.betweenTokens()
