Test the exchange of occupancy over loopback, and delayed replies

Removing the check of the asking process, or of the number of the last part, was noticed by no test.

Eight instances in two failure domains see each other's work over collectors and go on without one; a lost collector is asked anew after 3 s. Both removed checks now fail a test.

--- /dev/null
+++ b/entry/site/occupancy_fleet_test.go
@@ -0,0 +1,126 @@
+package site
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/stretchr/testify/require"
+
+	"papayaport.dev/serving/connection/peer"
+	"papayaport.dev/serving/process/clock"
+	"papayaport.dev/serving/process/directory"
+	"papayaport.dev/serving/process/membership"
+	"papayaport.dev/serving/process/occupancy"
+	"papayaport.dev/serving/request/route"
+	"papayaport.dev/serving/version/deployment"
+)
+
+// occupiedSite is an instance of a test that exchanges occupancy over loopback.
+type occupiedSite struct {
+	*Site
+	stop func()
+}
+
+// occupiedFleet starts instances in two failure domains that know each other.
+func occupiedFleet(t *testing.T, count int) []*occupiedSite {
+	t.Helper()
+	var fleet []*occupiedSite
+	listeners := make([]net.Listener, count)
+	for i := range count {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		listeners[i] = listener
+		s := testOccupied(t)
+		s.set.Instance, s.set.FailureDomain = fmt.Sprint("e", i), string(rune('a'+i%2))
+		s.set.AdvertisedPeers, s.set.RelayedFrom = listener.Addr().String(), 2
+		s.members = membership.New(s.self(), nil, rand.New(rand.NewPCG(1, 1)), membership.DefaultBudget)
+		s.occupied = newOccupied(s.set.Instance, 1, metrics.NewSet())
+		engine := deployment.Service{Name: "llm", Engine: &deployment.Engine{}}
+		version := deployment.New(deployment.Deployment{Version: 1, Services: []deployment.Service{engine}})
+		require.True(t, s.keeper.Adopt(deployment.Held{Version: version}))
+		s.setServers(time.Now(), []directory.Server{{ID: "server", Incarnation: 1, Service: "llm"}})
+		fleet = append(fleet, &occupiedSite{Site: s})
+	}
+	for i, one := range fleet {
+		for _, other := range fleet {
+			one.members.Receive(time.Now(), membership.Message{From: other.self()})
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error, 2)
+		go func() { done <- peer.Serve(ctx, listeners[i], &handler{one.Site}, peer.DefaultOptions()) }()
+		go func() { done <- one.runOccupancy(ctx) }()
+		one.stop = sync.OnceFunc(func() {
+			cancel()
+			for range 2 {
+				if err := <-done; err != nil {
+					require.ErrorIs(t, err, context.Canceled)
+				}
+			}
+		})
+		t.Cleanup(one.stop)
+	}
+	return fleet
+}
+
+// othersAt returns the number of requests of other instances that one sees at the server,
+// below 0 without fresh sums.
+func (s *occupiedSite) othersAt() int {
+	if s.occupied.reporter.Age(clock.Boot()) == 0 || !s.occupied.reporter.Fresh(clock.Boot()) {
+		return -1
+	}
+	works, _ := s.occupied.reporter.Others()
+	for _, w := range works {
+		if w.Server == occupancy.ServerID("server") {
+			return w.Requests
+		}
+	}
+	return 0
+}
+
+// TestOccupancyOfAFleet guards against work that does not reach the other instances over
+// collectors, also when one of them is gone, and that stays when its instance is gone.
+func TestOccupancyOfAFleet(t *testing.T) {
+	fleet := occupiedFleet(t, 8)
+	for i, one := range fleet {
+		request := route.Request{Service: "llm", PromptTokens: 1000, AnswerTokens: 1}
+		choice, err := one.routes.Choose(time.Now(), request)
+		require.NoError(t, err)
+		one.routes.Sent(time.Now(), fmt.Sprint(i), choice, request)
+	}
+	all := func(live []*occupiedSite, want int) func() bool {
+		return func() bool {
+			for _, one := range live {
+				if one.othersAt() != want {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	require.Eventually(t, all(fleet, 7), 5*time.Second, 20*time.Millisecond)
+	lost := fleet[0].lookAtCollectors(clock.Boot()).asked[0].Instance
+	var live []*occupiedSite
+	for _, one := range fleet {
+		if one.set.Instance == lost {
+			one.stop()
+		} else {
+			live = append(live, one)
+		}
+	}
+	require.Eventually(t, all(live, 6), 5*time.Second, 20*time.Millisecond, "without the collector %s", lost)
+	for range 50 { // an instance of which the sums lacked the own part would see 7
+		time.Sleep(20 * time.Millisecond)
+		for _, one := range live {
+			require.LessOrEqual(t, one.othersAt(), 6)
+		}
+	}
+	for _, one := range live { // a lost collector is asked anew after 3 s, not each period
+		require.LessOrEqual(t, one.occupied.lost.Get(), uint64(2))
+	}
+}
--- a/serving/process/occupancy/occupancy_test.go
+++ b/serving/process/occupancy/occupancy_test.go
@@ -155,11 +155,33 @@
 	require.True(t, taken)
 	others, _ := present.Others()
 	require.Empty(t, others)
-	taken, err = former.Take(start, collector.Reply(start, former.Next(work)))
+	for range 10 { // as many parts as the former process made
+		part = present.Next(work)
+	}
+	require.NoError(t, collector.Report(start, part))
+	last := former.Next(work)
+	require.Equal(t, part.Serial, last.Serial)
+	taken, err = former.Take(start, collector.Reply(start, last))
 	require.NoError(t, err)
 	require.False(t, taken, "its part is not in the sums")
 }
 
+// TestDelayedReply guards against the own work that is taken for others' because sums hold an
+// older part than the last one.
+func TestDelayedReply(t *testing.T) {
+	collector, reporter := occupancy.NewCollector(), occupancy.NewReporter("one", 1)
+	part := reporter.Next([]occupancy.Work{{Server: 7, Requests: 3}})
+	require.NoError(t, collector.Report(start, part))
+	delayed := collector.Reply(start, part)
+	reporter.Next(nil)
+	for name, reply := range map[string]occupancy.Reply{"delayed": delayed, "without sums": {}} {
+		taken, err := reporter.Take(start, reply)
+		require.NoError(t, err)
+		require.False(t, taken, name)
+		require.False(t, reporter.Fresh(start), name)
+	}
+}
+
 // TestExpiredPart guards against a part that counts again when a copy of it arrives late.
 func TestExpiredPart(t *testing.T) {
 	collector := occupancy.NewCollector()
