--- a/entry/site/query.go
+++ b/entry/site/query.go
@@ -8,6 +8,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
+	"papayaport.dev/serving/process/occupancy"
 	"papayaport.dev/serving/request/admission"
 	"papayaport.dev/serving/request/quota"
 	"papayaport.dev/serving/version/rollout"
@@ -29,8 +30,10 @@
 	Grant *grantQuery `cbor:"5,keyasint,omitempty"`
 	// Pay pays into pools, by account.
 	Pay map[string]quota.Amount `cbor:"6,keyasint,omitempty"`
-	// Rollouts brings permits and asks for reports. Number 7 is taken.
+	// Rollouts brings permits and asks for reports.
 	Rollouts *rolloutQuery `cbor:"8,keyasint,omitempty"`
+	// Occupancy tells a collector work at backend servers.
+	Occupancy *occupancy.Message `cbor:"7,keyasint,omitempty"`
 }
 
 // reply is the answer.
@@ -49,8 +52,9 @@
 	View     *viewReply `cbor:"7,keyasint,omitempty"`
 	// Granted tells that a pool granted the request.
 	Granted bool `cbor:"8,keyasint,omitempty"`
-	// Rollouts holds the reports on roll-outs. Number 9 is taken.
-	Rollouts []rollout.Report `cbor:"10,keyasint,omitempty"`
+	// Rollouts holds the reports on roll-outs.
+	Rollouts  []rollout.Report `cbor:"10,keyasint,omitempty"`
+	Occupancy *occupancy.Reply `cbor:"9,keyasint,omitempty"`
 }
 
 // askPeer asks the entry instance at an address.
@@ -86,6 +90,8 @@
 		answered.Roll = &own
 	case question.Rollouts != nil:
 		answered.Rollouts = h.s.answerRollouts(*question.Rollouts)
+	case question.Occupancy != nil:
+		answered.Occupancy = h.s.answerOccupancy(*question.Occupancy)
 	case question.View != nil:
 		answered.View = h.s.answerView(*question.View)
 	default:
--- a/entry/site/scarcity.go
+++ b/entry/site/scarcity.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"papayaport.dev/entry/relay"
+	"papayaport.dev/serving/process/clock"
 	"papayaport.dev/serving/request/scarcity"
 )
 
@@ -23,6 +24,6 @@
 }
 
 // workKnown tells whether this instance knows the work of the other entry instances at the
-// backend servers. Without it estimates would count this instance's own work only, so nothing
-// is refused until the shared occupancy is part of the site.
-func (s *Site) workKnown(time.Time) bool { return false }
+// backend servers. Without it estimates count this instance's own work only, and nothing is
+// refused.
+func (s *Site) workKnown(time.Time) bool { return s.occupied.reporter.Fresh(clock.Boot()) }
--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -179,9 +179,10 @@
 	view atomic.Pointer[heldView]
 	// rolls holds what the other instances told of their load, and told their counts; both
 	// are filled while this instance holds the duties.
-	rolls  rolls
-	told   *usage.Heard
-	intake *sizing.Intake
+	rolls    rolls
+	occupied *occupied
+	told     *usage.Heard
+	intake   *sizing.Intake
 	// rollouts is nil where the settings have no bounds of roll-outs.
 	rollouts *rollouts
 	// ignored holds the revisions of orders that were logged as ignored, by service. Both it
@@ -225,6 +226,7 @@
 	s.own = departure.NewOwn(clock.Boot())
 	s.members = membership.New(s.self(), set.SeedPeers, seeded(), membership.DefaultBudget)
 	s.peers = peer.New(peer.DefaultOptions())
+	s.occupied = newOccupied(set.Instance, s.incarnation(), s.meters)
 	s.exchange = exchange.New(exchange.Parts{
 		Members: s.members, Peers: s.peers, Tell: s.tellPeers, Apply: s.applyChange, Log: s.part("exchange"),
 	})
@@ -274,6 +276,7 @@
 	}
 	loops := []func(context.Context) error{
 		s.runView, s.exchange.Run, s.runRecord, s.leases.Run, s.runDuties, s.runTicks, s.runBorrow, s.runPay, s.runRoll,
+		s.runOccupancy,
 	}
 	if s.rollouts != nil {
 		loops = append(loops, s.runRollouts, s.runRolloutQuestions)
--- a/serving/request/route/backend.go
+++ b/serving/request/route/backend.go
@@ -38,6 +38,8 @@
 	reported   bool
 	reportedAt moment
 	peersAt    moment
+	// occupied tells that peers are the sums of all entry instances.
+	occupied bool
 
 	// reportedInFlight and reportedPrefill are the last report's figures in requests and
 	// tokens.
@@ -71,9 +73,7 @@
 
 // newBackend returns an incarnation without history.
 func newBackend(b Backend) *backend {
-	added := &backend{Backend: b, hash: hashID(b.ID), nextEvent: 1}
-	added.speed = newSpeed(&added.Backend, &added.load)
-	return added
+	return &backend{Backend: b, hash: hashID(b.ID), nextEvent: 1}
 }
 
 // report takes in a load report that describes a moment.
@@ -85,14 +85,14 @@
 	b.load, b.reportedAt, b.reported = load, described, true
 	b.reportedInFlight = load.Running + load.Queued
 	b.reportedPrefill = load.PrefillTokens
-	b.speed = newSpeed(&b.Backend, &b.load)
+	b.updateSpeed()
 	b.unsettled.settle(described)
 }
 
 // setPeers takes in the other entry instances' work.
 func (b *backend) setPeers(now moment, peers membership.BackendUse) {
 	b.peers = use{inFlight: peers.InFlight, prefill: peers.PrefillTokens}
-	b.peersAt = now
+	b.peersAt, b.occupied = now, false
 }
 
 // work is how much of a server its requests take, as a mean over the last reports.
@@ -126,6 +126,7 @@
 	hot      *simplelru.LRU[prefix.Block, *hits]
 	columns  []*backend
 	errors   deviations
+	rates    rates
 }
 
 // newGroup returns a service without backend servers.
@@ -136,6 +137,7 @@
 // add gives a backend server a column.
 func (g *group) add(b *backend) {
 	b.group = g
+	b.updateSpeed()
 	g.backends = append(g.backends, b)
 	for column, other := range g.columns {
 		if other == nil {
--- a/serving/request/route/table.go
+++ b/serving/request/route/table.go
@@ -35,6 +35,8 @@
 	// entries are all entry instances.
 	entries  []backpressure.Entry
 	backends map[string]*backend
+	// servers holds the backend servers by their names in occupancy sums.
+	servers  map[uint32]*backend
 	groups   map[string]*group
 	leaving  map[string]leavingMark
 	attempts map[string]*attempt
@@ -48,6 +50,10 @@
 	// opens is when the first of the servers that Choose left out for what they asked for
 	// takes a request, 0 when there were none.
 	opens time.Duration
+	// width limits the choice for requests with a prompt, 0 when it is not limited.
+	width int
+	// holders is reused by depths.
+	holders []int
 }
 
 // New returns an empty table that chooses by the named policy.
@@ -62,6 +68,7 @@
 		parts:    found.parts,
 		random:   random,
 		backends: map[string]*backend{},
+		servers:  map[uint32]*backend{},
 		groups:   map[string]*group{},
 		leaving:  map[string]leavingMark{},
 		attempts: map[string]*attempt{},
@@ -104,6 +111,7 @@
 	if b.own.inFlight == 0 && now.Sub(b.unlistedAt) > unlistedMemory {
 		b.group.remove(b)
 		delete(t.backends, b.ID)
+		delete(t.servers, uint32(b.hash))
 	}
 }
 
@@ -117,7 +125,7 @@
 	if known != nil && b.Incarnation == known.Incarnation && b.Service == known.Service {
 		known.Backend, known.unlisted = b, false
 		known.trip = t.self.trip(&b)
-		known.speed = newSpeed(&known.Backend, &known.load)
+		known.updateSpeed()
 		return
 	}
 	if known != nil {
@@ -128,7 +136,7 @@
 	if mark, ok := t.leaving[b.ID]; ok && b.Incarnation <= mark.incarnation {
 		added.leaving, added.deadline = true, mark.deadline
 	}
-	t.backends[b.ID] = added
+	t.backends[b.ID], t.servers[uint32(added.hash)] = added, added
 	t.group(b.Service).add(added)
 }
 
