--- a/serving/request/route/width_test.go
+++ b/serving/request/route/width_test.go
@@ -138,3 +138,28 @@
 		require.Equal(t, all.FirstToken, few.FirstToken)
 	}
 }
+
+// TestWidthKeepsToVersions guards against a limited choice that takes servers of a version
+// which a roll-out does not allow, or that finds none although there are some.
+func TestWidthKeepsToVersions(t *testing.T) {
+	for name, test := range map[string]struct {
+		versions route.Versions
+		want     map[string]int
+	}{
+		"only one":             {route.Versions{Only: "v2"}, map[string]int{"v2": 6}},
+		"few servers of one":   {route.Versions{Only: "v2", Most: 2}, map[string]int{"v2": 2}},
+		"not one":              {route.Versions{Not: []string{"v2"}}, map[string]int{"v1": 6, "": 1}},
+		"neither of the named": {route.Versions{Not: []string{"v1", ""}}, map[string]int{"v2": 6}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			table := newTable(t, route.Papayaport, 0)
+			table.SetBackends(start, versionedBackends())
+			table.SetWidth(width)
+			used := map[string]int{}
+			for version, ids := range chosen(t, table, test.versions) {
+				used[version] = len(ids)
+			}
+			require.Equal(t, test.want, used)
+		})
+	}
+}
