--- a/entry/site/rollout_holder.go
+++ b/entry/site/rollout_holder.go
@@ -280,12 +280,15 @@
 		return
 	}
 	record, finding := decision.Record, decision.Finding
+	if record.Reason == "" {
+		record.Reason = finding.Reason
+	}
 	fields := logrus.Fields{
 		"service": record.Service, "to": record.To, "order": record.Order, "phase": record.Phase, "reason": record.Reason,
 		"fencing": fencing, "write": outcome,
 	}
 	if finding.Verdict != "" {
-		fields["verdict"], fields["verdict_reason"], fields["test"], fields["route"] = finding.Verdict, finding.Reason, finding.Test, finding.Route
+		fields["verdict"], fields["test"], fields["route"] = finding.Verdict, finding.Test, finding.Route
 		fields["answers"], fields["bad"], fields["old_answers"], fields["old_bad"] = finding.Answers, finding.Bad, finding.OldAnswers, finding.OldBad
 		fields["tolerated"], fields["probability"], fields["backstop"] = finding.Tolerated, finding.Probability, finding.Backstop
 	}
--- a/entry/site/rollouts.go
+++ b/entry/site/rollouts.go
@@ -267,9 +267,12 @@
 		return
 	}
 	r.applied[service] = appliedPhase{order: order, phase: phase}
-	record := r.records[service].Record
+	record, name := r.records[service].Record, string(phase)
+	if name == "" {
+		name = "none" // an order without a record, or no order any more
+	}
 	s.part("rollout").WithFields(logrus.Fields{
-		"service": service, "order": order, "phase": phase, "to": record.To, "barred": record.Barred, "reason": record.Reason,
+		"service": service, "order": order, "phase": name, "to": record.To, "barred": record.Barred, "reason": record.Reason,
 	}).Info("rollout: phase applied")
 	for _, one := range []rollout.Phase{rollout.Trial, rollout.Shift, rollout.Completed, rollout.Reverted} {
 		value := 0.0
