--- a/serving/version/rollout/rollout.go
+++ b/serving/version/rollout/rollout.go
@@ -13,15 +13,34 @@
 //
 // # Usage
 //
-//	gate := rollout.NewGate(limits)
+// At every entry instance, with times of the boot clock:
+//
+//	gate, book := rollout.NewGate(limits), rollout.NewBook()
 //	gate.SetState(now, rollout.State{Orders: orders, Records: records, Entries: 64})
+//	order, _ := gate.Applied("model-bench")
+//	book.Follow("model-bench", order)
 //	gate.Permit(now, permits)
+//
+// For each attempt; if no server of pick.Only can be chosen, it is picked again with repeat:
+//
 //	pick := gate.Pick(now, "model-bench", "filing-review", false)
-//	gate.Sent(now, "model-bench", "filing-review", pick.Candidate)
+//	candidate := gate.IsCandidate("model-bench", version)
+//	gate.Sent(now, "model-bench", "filing-review", candidate)
+//	number := book.Began(now, attempt)
+//	book.First(now, number)
+//	book.Answered(answer) // or book.Dropped(number)
+//
+// At the holder of the duties, with the time of day:
 //
 //	decider := rollout.NewDecider(limits)
 //	for _, decision := range decider.Decide(now, input) {
-//		decider.Written(now, decision, rollout.Accepted)
+//		// Log decision.Step with decision.Finding, unless decision.Again.
+//		if decision.Permit {
+//			permits = append(permits, permit(decision.Record))
+//		}
+//		if decision.Write {
+//			decider.Written(now, decision, write(decision))
+//		}
 //	}
 package rollout
 
