Count only attempts that go out towards the credit for the candidate

An attempt was counted when its server was chosen, so three tries at servers that could not be reached earned credit for the candidate although no server had got a request: with all old servers gone the candidate could get more than its share. A process whose clock was set back at its start is heard again once the one before it is silent.

--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -155,7 +155,8 @@
 	// Pick returns the versions that the next attempt may use. Repeat tells that the request
 	// failed at the candidate, or that no server of the pick's version takes it.
 	Pick(service, route string, repeat bool) rollout.Pick
-	// Sent counts an attempt for which a server was chosen.
+	// Sent counts an attempt that goes out to a server. Those that reach none don't count: the
+	// exposure to a version is a share of the requests that servers get.
 	Sent(service, route string, candidate bool)
 	// IsCandidate tells whether a version is the one that a service moves to.
 	IsCandidate(service, version string) bool
--- a/entry/relay/run.go
+++ b/entry/relay/run.go
@@ -201,6 +201,8 @@
 	response *upstream.Response
 	answer   Answer
 	cancel   context.CancelCauseFunc
+	// picked tells that it is for the version that the service moves to.
+	picked bool
 	// onTrial tells that it goes to a version that is not trusted yet.
 	onTrial bool
 	// declined tells that the server answered whole that it won't do the request, which is no
@@ -236,6 +238,7 @@
 			if !relay.Routes.MayGo(sentAt, choice) {
 				return false
 			}
+			relay.Picks.Sent(r.service, r.route.Name, a.picked)
 			a.tale.began(sentAt)
 			return true
 		},
--- a/entry/relay/versions.go
+++ b/entry/relay/versions.go
@@ -66,9 +66,8 @@
 	if err != nil {
 		return nil, err
 	}
-	relay.Picks.Sent(r.service, r.route.Name, pick.Candidate)
 	onTrial := pick.Candidate && pick.Most > 0 // the trial uses a few servers, later phases all
-	return &attempt{id: relay.attemptID(r.call), choice: choice, onTrial: onTrial, tale: tale{
+	return &attempt{id: relay.attemptID(r.call), choice: choice, picked: pick.Candidate, onTrial: onTrial, tale: tale{
 		outcomes: relay.Outcomes, events: r.events, attempt: rollout.Attempt{
 			Service: r.service, Route: r.route.Name, Server: choice.Backend.ID, Estimate: r.expected(&choice),
 			Candidate: relay.Picks.IsCandidate(r.service, choice.Backend.Version),
--- a/entry/site/rollout_picks.go
+++ b/entry/site/rollout_picks.go
@@ -13,7 +13,7 @@
 	return r.gate.Pick(clock.Boot(), service, route, repeat)
 }
 
-// Sent counts an attempt for which a backend server was chosen.
+// Sent counts an attempt that goes out to a backend server.
 func (r *rollouts) Sent(service, route string, candidate bool) {
 	r.gate.Sent(clock.Boot(), service, route, candidate)
 }
--- a/entry/site/rollout_questions.go
+++ b/entry/site/rollout_questions.go
@@ -157,14 +157,16 @@
 	}
 }
 
-// hear takes in one report; mu is held. One of an earlier process of the instance is left out.
+// hear takes in one report; mu is held. One of an earlier process of the instance is left out,
+// unless the later one is silent: the clock that numbers processes may have been set back.
 func (r *rollouts) hear(now time.Time, report rollout.Report) {
 	heard := r.reports[report.Service]
 	if heard == nil {
 		heard = map[string]heardReport{}
 		r.reports[report.Service] = heard
 	}
-	if report.Incarnation >= heard[report.Instance].Incarnation {
+	last := heard[report.Instance]
+	if report.Incarnation >= last.Incarnation || now.Sub(last.at) > reportLife {
 		heard[report.Instance] = heardReport{report, now}
 	}
 }
--- a/entry/site/rollouts.go
+++ b/entry/site/rollouts.go
@@ -78,8 +78,6 @@
 	rollout.Stored
 	// at is when the store held it, by clock.Boot.
 	at time.Time
-	// unreadable tells that the record can't be decoded.
-	unreadable bool
 }
 
 // appliedPhase is the phase that picks follow, as it was logged last.
@@ -91,8 +89,10 @@
 }
 
 func newRollouts(limits rollout.Limits, meters *metrics.Set) *rollouts {
+	gate := rollout.NewGate(limits)
+	gate.SetState(clock.Boot(), rollout.State{}) // it tells pauses of the process from now on
 	return &rollouts{
-		gate: rollout.NewGate(limits), book: rollout.NewBook(), decider: rollout.NewDecider(limits), meters: meters,
+		gate: gate, book: rollout.NewBook(), decider: rollout.NewDecider(limits), meters: meters,
 		records: map[string]knownRecord{}, applied: map[string]appliedPhase{}, reports: map[string]map[string]heardReport{},
 		unread: map[string]bool{}, asked: map[string]bool{}, seen: map[string]uint64{},
 	}
@@ -135,7 +135,7 @@
 	defer r.mu.Unlock()
 	present := map[string]bool{}
 	for _, entry := range entries {
-		service := entry.Key[len(rolloutsPrefix):]
+		service := strings.TrimPrefix(entry.Key, rolloutsPrefix)
 		present[service] = true
 		r.setRecord(log, at, service, entry)
 	}
@@ -160,9 +160,8 @@
 	if err != nil {
 		// Its revision is kept, so that the line is written once.
 		log.WithError(err).WithFields(logrus.Fields{"service": service, "revision": entry.Revision}).Error("rollout: record unreadable")
-		known.unreadable = true
 	} else {
-		known.Record, known.unreadable = record, false
+		known.Record = record
 	}
 	known.Revision, known.at = entry.Revision, at
 	r.records[service] = known
