Count servers without a version as old ones

An old version without a name was left out of the versions that a roll-out replaces, so the order looked like one for the only version and was completed at once. With the name left out again the test case "old servers without a version" fails.

--- a/serving/version/rollout/decider_test.go
+++ b/serving/version/rollout/decider_test.go
@@ -151,6 +151,13 @@
 			},
 			want: Shift, reason: "good",
 		},
+		"old servers without a version": {
+			set: func(w *world) {
+				w.servers[""] = w.servers["v1"]
+				delete(w.servers, "v1")
+			},
+			want: Completed, reason: "good",
+		},
 		"old servers in use until the last moment": {
 			set:  func(w *world) { w.inFlightOld = 1 },
 			want: Completed, reason: "good",
--- a/serving/version/rollout/failure_test.go
+++ b/serving/version/rollout/failure_test.go
@@ -264,3 +264,15 @@
 	w.run(2 * time.Second)
 	require.Equal(t, before, w.sent["v2"])
 }
+
+// TestClockSetForward guards against a trial that a clock cuts short.
+func TestClockSetForward(t *testing.T) {
+	w := newWorld(t, 5)
+	w.order("v2", time.Minute)
+	w.run(5 * time.Second)
+	w.skew = time.Hour
+	w.run(30 * time.Second)
+	require.Equal(t, Trial, w.record().Phase)
+	w.run(25 * time.Second)
+	require.Equal(t, Completed, w.record().Phase)
+}
--- a/serving/version/rollout/gate.go
+++ b/serving/version/rollout/gate.go
@@ -120,7 +120,10 @@
 	l.restrict = !known || old > 0
 	l.phase = l.applied()
 	l.barred = l.barredVersions()
-	l.without = with(slices.Clone(l.barred), l.candidate())
+	l.without = l.barred
+	if candidate := l.candidate(); candidate != "" {
+		l.without = with(slices.Clone(l.barred), candidate)
+	}
 	share := exposurePart * g.limits.ExposureShare
 	l.most = max(leastTrialServers, int(math.Ceil(share*float64(old))))
 
@@ -291,10 +294,11 @@
 	return now.Sub(held.at), l.phase == Trial && g.fresh(now, service, l)
 }
 
-// with appends the versions that a list lacks, empty ones left out.
+// with appends the versions that a list lacks. The empty version is one like others: servers
+// may have none.
 func with(list []string, versions ...string) []string {
 	for _, version := range versions {
-		if version != "" && !slices.Contains(list, version) {
+		if !slices.Contains(list, version) {
 			list = append(list, version)
 		}
 	}
--- a/serving/version/rollout/rollout.go
+++ b/serving/version/rollout/rollout.go
@@ -17,7 +17,10 @@
 //
 //	gate, book := rollout.NewGate(limits), rollout.NewBook()
 //	gate.SetState(now, rollout.State{Orders: orders, Records: records, Entries: 64})
-//	order, _ := gate.Applied("model-bench")
+//	order, phase := gate.Applied("model-bench")
+//	if !phase.InProgress() {
+//		order = 0
+//	}
 //	book.Follow("model-bench", order)
 //	gate.Permit(now, permits)
 //
--- a/serving/version/rollout/world_test.go
+++ b/serving/version/rollout/world_test.go
@@ -260,12 +260,12 @@
 	}
 	w.total++
 	pick := n.gate.Pick(w.now(), w.service, route, false)
-	version, server := w.choose(pick)
-	if version == "" {
+	version, server, ok := w.choose(pick)
+	if !ok {
 		pick = n.gate.Pick(w.now(), w.service, route, true)
-		version, server = w.choose(pick)
+		version, server, ok = w.choose(pick)
 	}
-	if version == "" {
+	if !ok {
 		w.refused++
 		return
 	}
@@ -273,15 +273,15 @@
 		return
 	}
 	pick = n.gate.Pick(w.now(), w.service, route, true)
-	if version, server = w.choose(pick); version != "" {
+	if version, server, ok = w.choose(pick); ok {
 		w.attempt(n, route, version, server)
 	}
 }
 
 // choose returns a server that a pick allows.
-func (w *world) choose(pick Pick) (version string, server int) {
+func (w *world) choose(pick Pick) (version string, server int, ok bool) {
 	var versions []string
-	for _, version := range []string{"v1", "v2", "v3"} {
+	for _, version := range []string{"", "v1", "v2", "v3"} {
 		barred := false
 		for _, not := range pick.Not {
 			barred = barred || not == version
@@ -291,14 +291,14 @@
 		}
 	}
 	if len(versions) == 0 {
-		return "", 0
+		return "", 0, false
 	}
 	version = versions[w.rng.IntN(len(versions))]
 	count := w.servers[version]
 	if pick.Most > 0 {
 		count = min(count, pick.Most)
 	}
-	return version, w.rng.IntN(count)
+	return version, w.rng.IntN(count), true
 }
 
 // attempt sends an attempt and tells whether it failed.
