--- a/entry/site/rollouts.go
+++ b/entry/site/rollouts.go
@@ -78,8 +78,6 @@
 	rollout.Stored
 	// at is when the store held it, by clock.Boot.
 	at time.Time
-	// unreadable tells that the record can't be decoded.
-	unreadable bool
 }
 
 // appliedPhase is the phase that picks follow, as it was logged last.
@@ -91,8 +89,10 @@
 }
 
 func newRollouts(limits rollout.Limits, meters *metrics.Set) *rollouts {
+	gate := rollout.NewGate(limits)
+	gate.SetState(clock.Boot(), rollout.State{}) // it tells pauses of the process from now on
 	return &rollouts{
-		gate: rollout.NewGate(limits), book: rollout.NewBook(), decider: rollout.NewDecider(limits), meters: meters,
+		gate: gate, book: rollout.NewBook(), decider: rollout.NewDecider(limits), meters: meters,
 		records: map[string]knownRecord{}, applied: map[string]appliedPhase{}, reports: map[string]map[string]heardReport{},
 		unread: map[string]bool{}, asked: map[string]bool{}, seen: map[string]uint64{},
 	}
@@ -135,7 +135,7 @@
 	defer r.mu.Unlock()
 	present := map[string]bool{}
 	for _, entry := range entries {
-		service := entry.Key[len(rolloutsPrefix):]
+		service := strings.TrimPrefix(entry.Key, rolloutsPrefix)
 		present[service] = true
 		r.setRecord(log, at, service, entry)
 	}
@@ -160,9 +160,8 @@
 	if err != nil {
 		// Its revision is kept, so that the line is written once.
 		log.WithError(err).WithFields(logrus.Fields{"service": service, "revision": entry.Revision}).Error("rollout: record unreadable")
-		known.unreadable = true
 	} else {
-		known.Record, known.unreadable = record, false
+		known.Record = record
 	}
 	known.Revision, known.at = entry.Revision, at
 	r.records[service] = known
@@ -267,9 +266,12 @@
 		return
 	}
 	r.applied[service] = appliedPhase{order: order, phase: phase}
-	record := r.records[service].Record
+	record, name := r.records[service].Record, string(phase)
+	if name == "" {
+		name = "none" // an order without a record, or no order any more
+	}
 	s.part("rollout").WithFields(logrus.Fields{
-		"service": service, "order": order, "phase": phase, "to": record.To, "barred": record.Barred, "reason": record.Reason,
+		"service": service, "order": order, "phase": name, "to": record.To, "barred": record.Barred, "reason": record.Reason,
 	}).Info("rollout: phase applied")
 	for _, one := range []rollout.Phase{rollout.Trial, rollout.Shift, rollout.Completed, rollout.Reverted} {
 		value := 0.0
