Test that a bad verdict ends the permits at once

With the permit kept after a bad verdict all tests passed, because the permit of a reverted record is ignored by the gates; while the view lags the record is still one in trial. The new test fails then.

--- a/serving/version/rollout/failure_test.go
+++ b/serving/version/rollout/failure_test.go
@@ -276,3 +276,37 @@
 	w.run(25 * time.Second)
 	require.Equal(t, Completed, w.record().Phase)
 }
+
+// TestBadEndsPermits guards against permits for a bad version while the store, or a view that
+// lags, keeps the record in trial.
+func TestBadEndsPermits(t *testing.T) {
+	for name, lagging := range map[string]bool{"store down": false, "view lags": true} {
+		t.Run(name, func(t *testing.T) {
+			var evidence Evidence
+			cohort{n: 200}.add(&evidence, "review", false)
+			cohort{n: 50, failed: 50}.add(&evidence, "review", true)
+			record := Record{
+				Service: "bench", To: "v2", Order: 4, Fencing: 1, Phase: Trial,
+				StartedMS: start.UnixMilli(), DurationMS: usual.Milliseconds(), From: []string{"v1"},
+			}
+			d := NewDecider(limits)
+			if lagging {
+				d.Written(start, Decision{Record: record, Revision: 9, Write: true}, Accepted)
+			}
+			decisions := d.Decide(start.Add(time.Second), Input{
+				Fencing: 1,
+				Orders:  []Order{{Service: "bench", To: "v2", Duration: usual, Revision: 4}},
+				Records: []Stored{{Record: record, Revision: 9}},
+				Reports: []Report{{
+					Service: "bench", Order: 4, Instance: "a", Incarnation: 1, Applied: Trial,
+					Evidence: evidence,
+				}},
+			})
+			for _, decision := range decisions {
+				require.False(t, decision.Permit)
+				require.Equal(t, Reverted, decision.Record.Phase)
+			}
+			require.Equal(t, !lagging, len(decisions) == 1)
+		})
+	}
+}
