Let the stand-in's backend servers have versions and its operator order roll-outs

Roll-outs need tests from what callers, backend servers, the store and the operator see. Backend servers get a version with a defect (failing or slow; later, under load, on one path prefix), the operator writes orders, starts the new servers, cuts the old ones at "completed" and drains the new ones after "reverted", and a judge counts exposure, late requests, states and cut requests. The store refuses changes of op/ and servers/ by the system with 403, removals included, and can lose or refuse one chosen write.

--- a/standin/outside/misbehave.go
+++ b/standin/outside/misbehave.go
@@ -81,9 +81,9 @@
 	return b.wrong
 }
 
-func (b *Backend) plain(w http.ResponseWriter, r *http.Request, id string, wrong Misbehaviour) {
+func (b *Backend) plain(w http.ResponseWriter, r *http.Request, id string, wrong Misbehaviour, work time.Duration) {
 	select {
-	case <-time.After(b.Work):
+	case <-time.After(work):
 	case <-r.Context().Done():
 		return
 	}
--- a/standin/outside/outside.go
+++ b/standin/outside/outside.go
@@ -8,6 +8,12 @@
 //	address, err := outside.Serve(ctx, store)
 //	server, err := outside.Start(ctx, store, outside.Server{ID: "i-1", Service: "app", Zone: "a", Slots: 4})
 //	store.Put("op/config", config)
+//
+// An Operator orders roll-outs, and a Rollout counts what became of one:
+//
+//	r, err := outside.Operator{Store: store}.Roll(ctx, order, servers, old, nil)
+//	<-r.Ended()
+//	faults := r.Faults(outside.Completed, bounds)
 package outside
 
 import (
@@ -24,9 +30,16 @@
 	"github.com/pkg/errors"
 )
 
+// anyPort stands for a free port of the loopback interface.
+const anyPort = "127.0.0.1:0"
+
 // Serve answers on a free port of the loopback interface until ctx ends.
 func Serve(ctx context.Context, handler http.Handler) (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	return serveAt(ctx, anyPort, handler)
+}
+
+func serveAt(ctx context.Context, address string, handler http.Handler) (string, error) {
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return "", errors.Wrap(err, "listen")
 	}
@@ -64,11 +77,15 @@
 	// remembered is what the store answers with from the past.
 	remembered []Item
 	calls      map[string]int
+	// writes holds the changes of the keys of keptPrefixes by key.
+	writes    map[string][]Write
+	forbidden []string
+	trap      *trap
 }
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{items: map[string]Item{}, leases: map[int64]lease{}, down: map[string]bool{}, calls: map[string]int{}, revision: 1}
+	return &Store{items: map[string]Item{}, leases: map[int64]lease{}, down: map[string]bool{}, calls: map[string]int{}, writes: map[string][]Write{}, revision: 1}
 }
 
 // Put writes a key as operator or server.
@@ -85,6 +102,7 @@
 		created = old.Created
 	}
 	s.items[key] = Item{Key: key, Value: value, Revision: s.revision, Created: created, Lease: id}
+	s.remember(s.items[key])
 }
 
 // Delete removes a key.
@@ -300,14 +318,21 @@
 	if failed {
 		return http.StatusPreconditionFailed, map[string]any{"items": items}
 	}
+	if s.forbid(change) {
+		return http.StatusForbidden, nil
+	}
 	for _, row := range change.Write {
-		if strings.HasPrefix(row.Key, "op/") || strings.HasPrefix(row.Key, "servers/") {
-			return http.StatusForbidden, nil
-		}
 		if _, found := s.leases[row.Lease]; row.Lease != 0 && !found {
 			return http.StatusNotFound, nil
 		}
 	}
+	if sprung := s.spring(change); sprung != nil {
+		if sprung.kind == GoDown {
+			s.down["all"] = true
+			return http.StatusServiceUnavailable, nil
+		}
+		s.lost++ // the answer of this change
+	}
 	for _, row := range change.Write {
 		s.put(row.Key, row.Value, row.Lease)
 	}
--- /dev/null
+++ b/standin/outside/rollout_test.go
@@ -0,0 +1,217 @@
+package outside_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"papayaport.dev/standin/outside"
+)
+
+// change sends a change of the system to the store.
+func change(t *testing.T, store, key, value string, remove ...string) (int, error) {
+	rows := []map[string]any{}
+	if key != "" {
+		rows = append(rows, map[string]any{"key": key, "value": []byte(value)})
+	}
+	body, err := json.Marshal(map[string]any{"write": rows, "remove": remove})
+	require.NoError(t, err)
+	response, err := http.Post("http://"+store+"/api/kv-txn", "application/json", bytes.NewReader(body))
+	if err != nil {
+		return 0, err
+	}
+	return response.StatusCode, response.Body.Close()
+}
+
+func serveStore(t *testing.T) (context.Context, *outside.Store, string) {
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	store := outside.NewStore()
+	address, err := outside.Serve(ctx, store)
+	require.NoError(t, err)
+	return ctx, store, address
+}
+
+// send sends a request straight to a backend server and returns the status.
+func send(t *testing.T, b *outside.Backend, id, path string) int {
+	request, err := http.NewRequest(http.MethodGet, "http://"+b.Address+path, nil)
+	require.NoError(t, err)
+	outside.Mark(request, id, "", time.Second)
+	response, err := http.DefaultClient.Do(request)
+	require.NoError(t, err)
+	require.NoError(t, response.Body.Close())
+	require.Equal(t, b.Seal(id), outside.SealOf(response.Header))
+	return response.StatusCode
+}
+
+// TestSystemWritesNoOrders guards against a store that lets the system write the operator's
+// and the backend servers' keys.
+func TestSystemWritesNoOrders(t *testing.T) {
+	_, store, address := serveStore(t)
+	for name, test := range map[string]struct {
+		key, remove string
+		status      int
+	}{
+		"status":            {"status/rollout/app", "none", http.StatusOK},
+		"order":             {"op/rollout/app", "none", http.StatusForbidden},
+		"server":            {"servers/x", "none", http.StatusForbidden},
+		"removal of orders": {"", "op/rollout/app", http.StatusForbidden},
+	} {
+		t.Run(name, func(t *testing.T) {
+			before := len(store.Forbidden())
+			status, err := change(t, address, test.key, "{}", test.remove)
+			require.NoError(t, err)
+			require.Equal(t, test.status, status)
+			require.Equal(t, status == http.StatusForbidden, len(store.Forbidden()) > before)
+		})
+	}
+}
+
+// TestTrap guards against faults of the store that hit another write than the one meant.
+func TestTrap(t *testing.T) {
+	_, store, address := serveStore(t)
+	for name, kind := range map[string]outside.Trap{"answer lost": outside.LoseAnswer, "down": outside.GoDown} {
+		t.Run(name, func(t *testing.T) {
+			key := "status/rollout/" + name
+			store.Trap(key, outside.Completed, kind)
+			status, err := change(t, address, key, outside.InProgress)
+			require.NoError(t, err)
+			require.Equal(t, http.StatusOK, status)
+			require.Zero(t, store.Trapped())
+			status, err = change(t, address, key, outside.Completed)
+			require.NotZero(t, store.Trapped())
+			if kind == outside.LoseAnswer {
+				require.Error(t, err)
+				require.Len(t, store.Writes(key), 2)
+				return
+			}
+			require.NoError(t, err)
+			require.Equal(t, http.StatusServiceUnavailable, status)
+			require.Len(t, store.Writes(key), 1)
+			store.Down(false)
+			status, err = change(t, address, key, outside.Completed)
+			require.NoError(t, err)
+			require.Equal(t, http.StatusOK, status)
+		})
+	}
+}
+
+// TestDefect guards against bad versions that misbehave elsewhere, earlier or otherwise than
+// they are told to.
+func TestDefect(t *testing.T) {
+	ctx, store, _ := serveStore(t)
+	const work = 20 * time.Millisecond
+	for name, test := range map[string]struct {
+		defect outside.Defect
+		status int
+		bad    int
+		least  time.Duration
+	}{
+		"good":             {outside.Defect{}, http.StatusOK, 0, work},
+		"failing":          {outside.Defect{Failing: 1}, http.StatusInternalServerError, 1, work},
+		"slow":             {outside.Defect{Slower: 5}, http.StatusOK, 1, 5 * work},
+		"later":            {outside.Defect{Failing: 1, After: time.Minute}, http.StatusOK, 0, work},
+		"under load":       {outside.Defect{Failing: 1, Above: 1}, http.StatusOK, 0, work},
+		"on the route":     {outside.Defect{Failing: 1, Prefix: "/safe/"}, http.StatusInternalServerError, 1, work},
+		"on another route": {outside.Defect{Failing: 1, Prefix: "/unsafe/"}, http.StatusOK, 0, work},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b, err := outside.Start(ctx, store, outside.Server{ID: name, Service: "app", Slots: 2, Work: work, Version: "v2", Defect: test.defect})
+			require.NoError(t, err)
+			began := time.Now()
+			require.Equal(t, test.status, send(t, b, "1", "/safe/1"))
+			require.GreaterOrEqual(t, time.Since(began), test.least)
+			require.Eventually(t, func() bool { return len(b.Bad()) == test.bad }, time.Second, time.Millisecond)
+		})
+	}
+}
+
+// TestFaults guards against an operator or a judge that miss what a system does wrong. A
+// script plays the system, and the callers who reach the servers.
+func TestFaults(t *testing.T) {
+	const lasts = 300 * time.Millisecond
+	bounds := outside.Bounds{Share: 0.1, Slack: 50, Rollback: 50 * time.Millisecond}
+	type script struct {
+		t          *testing.T
+		store      string
+		old, fresh *outside.Backend
+	}
+	write := func(s script, state string) {
+		status, err := change(s.t, s.store, "status/rollout/app", fmt.Sprintf(`{"state":%q,"to":"v2"}`, state))
+		require.NoError(s.t, err)
+		require.Equal(s.t, http.StatusOK, status)
+	}
+	many := func(s script, count int) {
+		for i := range count {
+			send(s.t, s.fresh, fmt.Sprint(i), "/")
+		}
+	}
+	bad := outside.Defect{Failing: 1}
+	for name, test := range map[string]struct {
+		defect outside.Defect
+		play   func(s script)
+		want   string
+		fault  string
+	}{
+		"completed":       {outside.Defect{}, func(s script) { write(s, "in_progress"); write(s, "completed") }, outside.Completed, ""},
+		"reverted":        {bad, func(s script) { write(s, "in_progress"); many(s, 50); write(s, "reverted") }, outside.Reverted, ""},
+		"nothing said":    {bad, func(script) {}, outside.Reverted, "not written first"},
+		"wrong verdict":   {bad, func(s script) { write(s, "in_progress"); write(s, "completed") }, outside.Reverted, `"reverted" was not written`},
+		"changed verdict": {bad, func(s script) { write(s, "in_progress"); write(s, "reverted"); write(s, "in_progress") }, outside.Reverted, "number 3"},
+		"late":            {bad, func(s script) { write(s, "in_progress"); time.Sleep(lasts); write(s, "reverted") }, outside.Reverted, "behind it"},
+		"exposed":         {bad, func(s script) { write(s, "in_progress"); many(s, 60); write(s, "reverted") }, outside.Reverted, "exposure"},
+		"used later": {
+			bad, func(s script) {
+				write(s, "in_progress")
+				many(s, 50)
+				write(s, "reverted")
+				time.Sleep(60 * time.Millisecond)
+				send(s.t, s.fresh, "late", "/")
+			},
+			outside.Reverted, "rollback",
+		},
+		"repeated": {
+			bad, func(s script) { write(s, "in_progress"); many(s, 1); many(s, 1); write(s, "reverted") },
+			outside.Reverted, "reached it again",
+		},
+		"cut": {
+			outside.Defect{}, func(s script) {
+				write(s, "in_progress")
+				go func() {
+					response, err := http.Get("http://" + s.old.Address + "/")
+					if err == nil {
+						_ = response.Body.Close()
+					}
+				}()
+				require.Eventually(s.t, func() bool { return len(s.old.Runs()) == 1 }, time.Second, time.Millisecond)
+				write(s, "completed")
+			}, outside.Completed, "cut: 1",
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ctx, store, address := serveStore(t)
+			old, err := outside.Start(ctx, store, outside.Server{ID: "old", Service: "app", Slots: 9, Work: 50 * time.Millisecond})
+			require.NoError(t, err)
+			order := outside.Order{Service: "app", To: "v2", Duration: lasts}
+			servers := []outside.Server{{ID: "new", Slots: 9, Defect: test.defect}}
+			r, err := outside.Operator{Store: store}.Roll(ctx, order, servers, []*outside.Backend{old}, nil)
+			require.NoError(t, err)
+			require.Eventually(t, func() bool { return len(r.Fresh()) == 1 }, time.Second, time.Millisecond)
+			test.play(script{t, address, old, r.Fresh()[0]})
+			time.Sleep(time.Until(r.Deadline()))
+			require.NoError(t, r.Err())
+			faults := r.Faults(test.want, bounds)
+			if test.fault == "" {
+				require.Empty(t, faults)
+				return
+			}
+			require.Contains(t, fmt.Sprint(faults), test.fault)
+		})
+	}
+}
--- a/standin/outside/server.go
+++ b/standin/outside/server.go
@@ -1,6 +1,7 @@
 package outside
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -20,6 +21,10 @@
 	ID      string
 	Service string
 	Zone    string
+	// Version is that of the server's software, FirstVersion when empty, and Defect what it
+	// does wrong.
+	Version string
+	Defect  Defect
 	Slots   int
 	// Queue is the number of requests that wait for a slot; what is beyond is refused.
 	Queue int
@@ -27,6 +32,8 @@
 	Work time.Duration
 	// Events is the number of events of a stream; 0 makes a plain service.
 	Events int
+	// Listen is the address to listen at, any free port when empty.
+	Listen string
 	// Advertise returns the address to register for the one that the server listens at;
 	// nil registers that one.
 	Advertise func(listening string) (string, error)
@@ -54,6 +61,7 @@
 	Address string
 	store   *Store
 	born    int64
+	started time.Time
 	cancel  context.CancelFunc
 
 	mu          sync.Mutex
@@ -69,15 +77,22 @@
 	large       string
 	misdirected int
 	draining    bool
+	bad         []Arrival
+	// gone tells that Cut ended the server, lost how many requests that cut off.
+	gone bool
+	lost int
 }
 
 // Start starts a backend server and registers it.
 func Start(ctx context.Context, store *Store, s Server) (*Backend, error) {
 	ctx, cancel := context.WithCancel(ctx)
-	b := &Backend{Server: s, store: store, born: time.Now().UnixMilli(), cancel: cancel}
+	if s.Version == "" {
+		s.Version = FirstVersion
+	}
+	b := &Backend{Server: s, store: store, born: time.Now().UnixMilli(), started: time.Now(), cancel: cancel}
 	b.freed = sync.NewCond(&b.mu)
 	var err error
-	if b.Address, err = Serve(ctx, b); err != nil {
+	if b.Address, err = serveAt(ctx, cmp.Or(s.Listen, anyPort), b); err != nil {
 		cancel()
 		return nil, err
 	}
@@ -100,7 +115,7 @@
 	}
 	b.mu.Unlock()
 	entry, err := json.Marshal(map[string]any{
-		"service": b.Service, "address": b.Address, "zone": b.Zone, "version": "v1", "slots": b.Slots,
+		"service": b.Service, "address": b.Address, "zone": b.Zone, "version": b.Version, "slots": b.Slots,
 		"state": state, "cold_remaining_ms": 0, "sequence": 1, "born": b.born,
 	})
 	if err != nil {
@@ -170,6 +185,7 @@
 	}
 	run.At = time.Now()
 	b.active++
+	b.countLost()
 	b.runs = append(b.runs, run)
 	return true
 }
@@ -235,11 +251,19 @@
 		b.trickle(w, r, wrong)
 		return
 	}
+	fails, slower := b.defect(r)
+	if fails {
+		wrong = Fail
+	}
+	work := time.Duration(float64(b.Work) * slower)
 	if b.Events > 0 && wrong != Fail {
-		b.stream(w, r, wrong)
-		return
+		b.stream(w, r, wrong, work)
+	} else {
+		b.plain(w, r, id, wrong, work)
+	}
+	if (fails || slower > 1) && r.Context().Err() == nil {
+		b.answeredBadly(id)
 	}
-	b.plain(w, r, id, wrong)
 }
 
 // Large replaces the bodies of a plain service from now on.
@@ -262,7 +286,7 @@
 // Event is one event of a stream.
 func Event(number int) string { return fmt.Sprintf("id: %d\ndata: piece %d\n\n", number, number) }
 
-func (b *Backend) stream(w http.ResponseWriter, r *http.Request, wrong Misbehaviour) {
+func (b *Backend) stream(w http.ResponseWriter, r *http.Request, wrong Misbehaviour, work time.Duration) {
 	first := 1
 	if last, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
 		first = last + 1
@@ -271,7 +295,7 @@
 	control := http.NewResponseController(w)
 	for number := first; number <= b.Events; number++ {
 		select {
-		case <-time.After(b.Work):
+		case <-time.After(work):
 		case <-r.Context().Done():
 			return
 		}
