--- a/standin/outside/defect.go
+++ b/standin/outside/defect.go
@@ -31,8 +31,8 @@
 // defect returns whether the server fails a request that it just began, and how many times
 // as long it works at it.
 func (b *Backend) defect(r *http.Request) (fails bool, slower float64) {
-	d := b.Defect
 	b.mu.Lock()
+	d := b.Defect
 	others := b.active - 1
 	b.mu.Unlock()
 	if !d.Bad() || time.Since(b.started) < d.After || others < d.Above || !strings.HasPrefix(r.URL.Path, d.Prefix) {
@@ -41,6 +41,13 @@
 	return rand.Float64() < d.Failing, max(d.Slower, 1)
 }
 
+// SetDefect changes what the server does wrong from now on.
+func (b *Backend) SetDefect(defect Defect) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.Defect = defect
+}
+
 // answeredBadly notes a bad answer that has just been given.
 func (b *Backend) answeredBadly(id string) {
 	b.mu.Lock()
