Let every third run of the soak have a roll-out

The soak knew no orders. Seeds 1, 4, 7 and so on draw one (good, bad, or bad on one route) beside their faults, from a random source of its own, so that the faults of known seeds stay as they are.

--- a/soak/plan/plan.go
+++ b/soak/plan/plan.go
@@ -53,6 +53,16 @@
 	StoreLoses Kind = "store_loses"
 	// Publish writes a few configurations in a row.
 	Publish Kind = "publish"
+	// Rollout orders another version of a service, Target 0 the plain one and 1 the engines.
+	// Number tells whether the version is good, bad, or bad on one route.
+	Rollout Kind = "rollout"
+)
+
+// Numbers of Rollout.
+const (
+	GoodVersion = 1 + iota
+	BadVersion
+	BadOnOneRoute
 )
 
 // Way is how a link is disturbed.
@@ -129,6 +139,11 @@
 	leastWish  = 6 * time.Second
 	// mostPublished bounds the configurations of one fault.
 	mostPublished = 6
+	// rolloutEvery is which part of the seeds has a roll-out, shortestOrder and longestOrder
+	// bound its time.
+	rolloutEvery  = 3
+	shortestOrder = 6 * time.Second
+	longestOrder  = 10 * time.Second
 	// mostDelay bounds the delay of a link or the store.
 	mostDelay = 300 * time.Millisecond
 )
@@ -191,6 +206,7 @@
 		p.Faults = append(p.Faults, f)
 	}
 	p.Faults = append(p.Faults, wishes(seed, size, p.Plain+p.Engines)...)
+	p.Faults = append(p.Faults, rollout(seed, size)...)
 	slices.SortStableFunc(p.Faults, func(a, b Fault) int { return int(a.At - b.At) })
 	return p
 }
@@ -211,5 +227,19 @@
 	return faults
 }
 
+// rollout draws the order of a run in every third one, with a random source of its own too.
+func rollout(seed uint64, size Size) []Fault {
+	if seed%rolloutEvery != 1 {
+		return nil
+	}
+	r := rand.New(rand.NewPCG(seed, 2))
+	f := Fault{Kind: Rollout, Target: r.IntN(2), Number: GoodVersion + r.IntN(BadOnOneRoute)}
+	quiet := time.Duration(quietShare * float64(size.Length))
+	most := min(longestOrder, size.Length-quiet)
+	f.For = shortestOrder + time.Duration(r.Float64()*float64(most-shortestOrder))
+	f.At = quiet + time.Duration(r.Float64()*float64(size.Length-quiet-f.For))
+	return []Fault{f}
+}
+
 // DelayOf returns how long a delay that belongs to a fault is.
 func DelayOf(f Fault) time.Duration { return mostDelay * time.Duration(f.Number) / mostPublished }
--- a/soak/plan/plan_test.go
+++ b/soak/plan/plan_test.go
@@ -20,5 +20,5 @@
 			require.Positive(t, f.At)
 		}
 	}
-	require.Len(t, drawn, 20, "every kind is drawn")
+	require.Len(t, drawn, 21, "every kind is drawn")
 }
--- /dev/null
+++ b/soak/verdict/rollouts_test.go
@@ -0,0 +1,105 @@
+package verdict_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"papayaport.dev/soak/caller"
+	"papayaport.dev/soak/verdict"
+	"papayaport.dev/standin/outside"
+)
+
+// ordered is a record of an order of 8 s with states written at times in milliseconds.
+func ordered(bad bool, written map[int]string) verdict.Record {
+	o := verdict.Rollout{Span: verdict.Span{From: at(0), To: at(8000)}, Now: at(9000), Bad: bad}
+	o.Counts.Total = 1000
+	for _, ms := range []int{100, 5000, 6000, 9000} {
+		if state, found := written[ms]; found {
+			o.States = append(o.States, outside.State{State: state, To: "v2", At: at(ms)})
+		}
+	}
+	return verdict.Record{Rollouts: []verdict.Rollout{o}}
+}
+
+// reaching adds requests that reached the ordered version at a time through instance 0.
+func reaching(r verdict.Record, count, ms int) verdict.Record {
+	for i := range count {
+		id := numbered(len(r.Answers) + i)
+		r.Rollouts[0].Candidate = append(r.Rollouts[0].Candidate, run(id, "v2", ms))
+	}
+	for _, one := range r.Rollouts[0].Candidate[len(r.Answers):] {
+		r.Answers = append(r.Answers, answer(one.ID, caller.Resume, 500, ""))
+	}
+	return r
+}
+
+func badAnswers(r verdict.Record, count, ms int) verdict.Record {
+	for range count {
+		r.Rollouts[0].Counts.Bad = append(r.Rollouts[0].Counts.Bad, at(ms))
+	}
+	return r
+}
+
+func cutting(r verdict.Record, requests int) verdict.Record {
+	r.Rollouts[0].Counts.Cut = requests
+	return r
+}
+
+func lingering(r verdict.Record) verdict.Record {
+	r.Rollouts[0].Lingering = true
+	return r
+}
+
+func blinded(r verdict.Record, entry, from, to int) verdict.Record {
+	r.Blind = append(r.Blind, verdict.Blind{Entry: entry, Span: verdict.Span{From: at(from), To: at(to)}})
+	return r
+}
+
+// TestRollouts guards against verdicts about orders that miss a broken promise, and against
+// ones that count what a fault excuses.
+func TestRollouts(t *testing.T) {
+	completed := map[int]string{100: "in_progress", 5000: "completed"}
+	reverted := map[int]string{100: "in_progress", 5000: "reverted"}
+	open := map[int]string{100: "in_progress"}
+	late := map[int]string{100: "in_progress", 9000: "reverted"}
+	turned := map[int]string{100: "in_progress", 5000: "reverted", 6000: "completed"}
+	for name, test := range map[string]struct {
+		record verdict.Record
+		broken string
+	}{
+		"good, completed":                     {ordered(false, completed), ""},
+		"good, reverted":                      {reaching(ordered(false, reverted), 30, 3000), "good version was reverted"},
+		"good, reverted after few answers":    {reaching(ordered(false, reverted), 10, 3000), ""},
+		"good, reverted beside a fault":       {blinded(reaching(ordered(false, reverted), 30, 3000), 3, 2000, 2500), ""},
+		"good, requests cut":                  {cutting(ordered(false, completed), 2), "2 requests ran"},
+		"good, requests of faulty servers":    {lingering(cutting(ordered(false, completed), 2)), ""},
+		"bad, reverted":                       {reaching(ordered(true, reverted), 150, 3000), ""},
+		"bad, completed":                      {ordered(true, completed), "bad version was completed"},
+		"verdict turned round":                {ordered(false, turned), "after"},
+		"bad, exposed":                        {reaching(ordered(true, reverted), 151, 3000), "allowed are 150"},
+		"bad, exposed behind the deadline":    {reaching(ordered(true, reverted), 151, 8500), ""},
+		"bad, exposed by an instance cut off": {blinded(reaching(ordered(true, reverted), 151, 3000), 0, 1000, 2000), ""},
+		"bad, exposed, another one cut off":   {blinded(reaching(ordered(true, reverted), 151, 3000), 1, 1000, 2000), "allowed are 150"},
+		"bad, exposed, cut off long before":   {blinded(reaching(ordered(true, reverted), 151, 7000), 0, 1000, 2000), "allowed are 150"},
+		"bad, used too late":                  {badAnswers(reaching(ordered(true, reverted), 1, 6500), 50, 1400), "1 requests reached"},
+		"bad, used in time":                   {badAnswers(reaching(ordered(true, reverted), 1, 6500), 50, 1600), ""},
+		"bad, too few answers to know":        {badAnswers(reaching(ordered(true, reverted), 1, 6500), 49, 1400), ""},
+		"undecided":                           {ordered(true, open), "not decided"},
+		"decided late":                        {ordered(true, late), "not decided"},
+		"decided late behind a fault":         {blinded(ordered(true, late), verdict.Every, 6000, 7000), ""},
+		"decided late, long behind a fault":   {blinded(ordered(true, late), verdict.Every, 3000, 3900), "not decided"},
+		"undecided long behind a fault":       {blinded(ordered(true, open), verdict.Every, 3000, 3500), "not decided"},
+		"decided late, fault long before":     {blinded(ordered(true, late), verdict.Every, 1000, 2000), "not decided"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			found := verdict.Judge(test.record)
+			if test.broken == "" {
+				require.Empty(t, found)
+				return
+			}
+			require.NotEmpty(t, found)
+			require.Contains(t, found[0], test.broken)
+		})
+	}
+}
--- a/soak/verdict/verdict.go
+++ b/soak/verdict/verdict.go
@@ -79,6 +79,8 @@
 	// heed it.
 	Told []Told
 	Held []Held
+	// Rollouts are the operator's orders.
+	Rollouts []Rollout
 	// Rate and Burst are the limit of the client account in tokens, with its tolerances.
 	Limit  Limit
 	Budget Budget
@@ -119,7 +121,7 @@
 func Judge(r Record) []string {
 	var found []string
 	for _, check := range []func(Record) []string{
-		answers, atMostOnce, notRunIsTrue, leaving, plannedStops, versions, limits, budgets, wishes,
+		answers, atMostOnce, notRunIsTrue, leaving, plannedStops, versions, limits, budgets, wishes, rollouts,
 	} {
 		found = append(found, check(r)...)
 	}
--- a/soak/world/inject.go
+++ b/soak/world/inject.go
@@ -78,6 +78,8 @@
 		return during(func() { b.Misbehave(wrongs[(f.Number+f.Target)%len(wrongs)], wrongTimes) }, func() { b.Misbehave(outside.Nothing, 0) })
 	case plan.LimitBackend, plan.CloseBackend, plan.LeaveBackend, plan.EndlessBackend:
 		return w.injectWish(f, hold)
+	case plan.Rollout:
+		return w.injectRollout(ctx, f)
 	case plan.StoreDown:
 		return during(func() { w.store.Down(true) }, func() { w.store.Down(false) })
 	case plan.StoreSlow:
@@ -288,6 +290,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	return slices.ContainsFunc(w.faults, func(in *injected) bool {
+		if in.Kind == plan.Rollout {
+			return w.rolloutCuts(span)
+		}
 		cutting := slices.Contains([]plan.Kind{plan.KillBackend, plan.DrainBackend, plan.WrongBackend, plan.BackendLink, plan.LeaveBackend, plan.EndlessBackend}, in.Kind)
 		return cutting && in.overlaps(span)
 	})
@@ -360,7 +365,10 @@
 		}
 	}
 	r.Held = w.held()
-	for _, b := range w.ever {
+	for _, o := range w.rollouts {
+		r.Rollouts = append(r.Rollouts, w.seen(o))
+	}
+	for _, b := range append(w.freshBackends(), w.ever...) {
 		for _, run := range b.Runs() {
 			body := b.Body(run.ID)
 			if b.events > 0 {
--- a/soak/world/play.go
+++ b/soak/world/play.go
@@ -255,7 +255,7 @@
 		}
 		c.Close()
 	}
-	return nil
+	return w.untilDecided(ctx, end)
 }
 
 // stopAll stops all entry instances at once while callers go on.
--- /dev/null
+++ b/soak/world/rollout.go
@@ -0,0 +1,163 @@
+package world
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"papayaport.dev/serving/process/clock"
+	"papayaport.dev/soak/caller"
+	"papayaport.dev/soak/plan"
+	"papayaport.dev/soak/verdict"
+	"papayaport.dev/standin/outside"
+)
+
+// services are the plain one and that of the engines.
+var services = []string{"app", "llm"}
+
+const (
+	// orderedVersion is what orders name.
+	orderedVersion = "v2"
+	// badShare is the part of its requests that a bad version fails: enough that few answers
+	// show it.
+	badShare = 0.7
+	// orderedWork is the time of a new server's requests and events, as the old ones have it
+	// on average.
+	orderedWork = 16 * time.Millisecond
+)
+
+// rolloutSettings are the settings of entry instances about roll-outs.
+var rolloutSettings = fmt.Sprintf(`{"rollout": {"exposure_share": %v, "exposure_slack": %v, "rollback_ms": %d}}`,
+	verdict.RolloutBounds.Share, verdict.RolloutBounds.Slack, verdict.RolloutBounds.Rollback.Milliseconds())
+
+// order is an operator's order under way.
+type order struct {
+	*outside.Rollout
+	bad bool
+}
+
+// injectRollout orders another version of a service, and returns at the order's deadline.
+func (w *World) injectRollout(ctx context.Context, f plan.Fault) error {
+	service, count, events := services[f.Target], w.plan.Plain, 0
+	if f.Target > 0 {
+		count, events = w.plan.Engines, streamSize
+	}
+	var defect outside.Defect
+	switch f.Number {
+	case plan.BadVersion:
+		defect.Failing = badShare
+	case plan.BadOnOneRoute:
+		kinds := [][]caller.Kind{{caller.Safe, caller.Unsafe}, {caller.Stream, caller.Resume}}[f.Target]
+		defect.Failing, defect.Prefix = badShare, fmt.Sprintf("/%s/", kinds[w.plan.Seed/3%2])
+	}
+	var servers []outside.Server
+	for i := range count {
+		servers = append(servers, outside.Server{
+			ID: fmt.Sprintf("%s-%s-%d", service, orderedVersion, i), Zone: zones[i%len(zones)],
+			Slots: slots, Queue: queue, Work: orderedWork, Events: events, Defect: defect,
+		})
+	}
+	if err := w.order(outside.Order{Service: service, To: orderedVersion, Duration: f.For}, servers); err != nil {
+		return err
+	}
+	return clock.Sleep(ctx, f.For)
+}
+
+// order writes an order with the servers that serve now as the old ones.
+func (w *World) order(o outside.Order, servers []outside.Server) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var old []*outside.Backend
+	for _, b := range w.backends {
+		if b.Service == o.Service {
+			old = append(old, b.Backend)
+		}
+	}
+	r, err := outside.Operator{Store: w.store}.Roll(w.life, o, servers, old, nil)
+	if err != nil {
+		return err
+	}
+	w.rollouts = append(w.rollouts, &order{r, servers[0].Defect.Bad()})
+	return nil
+}
+
+// versionOf returns the version of a server that starts now in place of one that ended.
+func (w *World) versionOf(service string) string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, o := range w.rollouts {
+		if final, found := o.Final(); found && o.Service == service && final.State == outside.Completed {
+			return o.To
+		}
+	}
+	return outside.FirstVersion
+}
+
+// joinRollout tells the operator of a server that started. The caller has w.mu locked.
+func (w *World) joinRollout(b *backend) {
+	for _, o := range w.rollouts {
+		if o.Service == b.Service && b.Version != o.To {
+			o.Join(b.Backend)
+		}
+	}
+}
+
+// freshBackends returns the servers that orders started. The caller has w.mu locked.
+func (w *World) freshBackends() (all []*backend) {
+	for _, o := range w.rollouts {
+		for _, b := range o.Fresh() {
+			all = append(all, &backend{Backend: b, label: b.ID + "#1", events: b.Events})
+		}
+	}
+	return all
+}
+
+// rolloutCuts tells whether the end of old servers may have cut answers during a span. The
+// caller has w.mu locked.
+func (w *World) rolloutCuts(span verdict.Span) bool {
+	return slices.ContainsFunc(w.rollouts, func(o *order) bool {
+		final, found := o.Final()
+		return found && final.At.Before(span.To) && final.At.Add(cutLate).After(span.From)
+	})
+}
+
+// untilDecided waits until each order has come to its last state.
+func (w *World) untilDecided(ctx context.Context, end time.Time) error {
+	w.mu.Lock()
+	orders := slices.Clone(w.rollouts)
+	w.mu.Unlock()
+	for _, o := range orders {
+		for _, found := o.Final(); !found; _, found = o.Final() {
+			if time.Now().After(end) {
+				return broken("recovery: the order of %s is not decided", o.Service)
+			}
+			if err := clock.Sleep(ctx, think); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// lingering are faults of backend servers that keep requests there for long, or end them.
+var lingering = []plan.Kind{
+	plan.BackendLink, plan.KillBackend, plan.DrainBackend, plan.WrongBackend, plan.LeaveBackend, plan.EndlessBackend, plan.CloseBackend,
+}
+
+// seen returns what is known of an order by now. The caller has w.mu locked.
+func (w *World) seen(o *order) verdict.Rollout {
+	r := verdict.Rollout{
+		Span: verdict.Span{From: o.Made, To: o.Deadline()}, Now: time.Now(), Bad: o.bad,
+		States: o.States(), Counts: o.Counts(verdict.RolloutBounds),
+	}
+	for _, b := range o.Fresh() {
+		for _, arrival := range b.Arrivals() {
+			r.Candidate = append(r.Candidate, verdict.Run{ID: arrival.ID, At: arrival.At, Server: b.ID})
+		}
+	}
+	r.Lingering = slices.ContainsFunc(w.faults, func(in *injected) bool {
+		return slices.Contains(lingering, in.Kind) && in.overlaps(r.Span)
+	})
+	return r
+}
--- a/soak/world/world.go
+++ b/soak/world/world.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -131,6 +132,7 @@
 	accepted time.Time
 	routes   []outside.Route
 	faults   []*injected
+	rollouts []*order
 	ready    []bool
 	// claimed are the places that a fault ends and starts.
 	claimed []int
@@ -268,15 +270,15 @@
 	b := *w.backends[place]
 	work := time.Duration(2+w.random.IntN(30)) * time.Millisecond
 	w.mu.Unlock()
-	service := "app"
+	service := services[0]
 	if b.events > 0 {
-		service = "llm"
+		service = services[1]
 	}
 	b.life++
 	b.label = fmt.Sprintf("%s#%d", id, b.life)
 	var err error
 	b.Backend, err = outside.Start(w.life, w.store, outside.Server{
-		ID: id, Service: service, Zone: zones[place%len(zones)], Slots: slots, Queue: queue, Work: work, Events: b.events,
+		ID: id, Service: service, Version: w.versionOf(service), Zone: zones[place%len(zones)], Slots: slots, Queue: queue, Work: work, Events: b.events,
 		Advertise: func(listening string) (string, error) {
 			if b.link == nil {
 				made, err := link.New(w.life, listening)
@@ -294,6 +296,7 @@
 	defer w.mu.Unlock()
 	w.backends[place] = &b
 	w.ever = append(w.ever, &b)
+	w.joinRollout(&b)
 	return nil
 }
 
@@ -317,7 +320,10 @@
 			Quota: site.QuotaSettings{WindowS: quotaWindowS, Overrun: quotaOverrun, Slack: w.record.Limit.Slack, PooledFrom: pooled}, RelayedFrom: relayed,
 			Policy: "papayaport_no_price", LogLevel: "info",
 		}
-		var err error
+		err := json.Unmarshal([]byte(rolloutSettings), &set)
+		if err != nil {
+			return errors.Wrap(err, "read settings of roll-outs")
+		}
 		for _, address := range []*string{&set.Callers, &set.Ready, &set.Peers} {
 			if *address, err = w.freeAddress(); err != nil {
 				return err
--- a/standin/outside/operator.go
+++ b/standin/outside/operator.go
@@ -46,6 +46,8 @@
 }
 
 // Rollout is an order that was written, with the servers of the service.
+//
+// Lock order: Rollout.mu before Backend.mu and Store.mu.
 type Rollout struct {
 	Order
 	Made     time.Time
@@ -58,8 +60,10 @@
 	old, fresh []*Backend
 	// others are servers that take part in the counts and that the operator leaves alone.
 	others []*Backend
-	err    error
-	ended  chan struct{}
+	// completed tells that the old servers ended.
+	completed bool
+	err       error
+	ended     chan struct{}
 }
 
 // Roll writes an order, starts servers of the ordered version beside the old ones, and
@@ -133,6 +137,17 @@
 	r.others = append(r.others, others...)
 }
 
+// Join adds a server of another version than the ordered one that started after the order.
+func (r *Rollout) Join(old *Backend) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.old = append(r.old, old)
+	if r.completed {
+		old.Cut()
+		old.Unregister()
+	}
+}
+
 // State is one value of the order's status.
 type State struct {
 	State string `json:"state"`
@@ -192,15 +207,23 @@
 		final, found = r.Final()
 	}
 	if final.State == Completed {
-		for _, backend := range r.Old() {
-			backend.Cut()
-			backend.Unregister()
-		}
+		r.endOld()
 		return nil
 	}
 	return r.drain(ctx)
 }
 
+// endOld ends the old servers at once.
+func (r *Rollout) endOld() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.completed = true
+	for _, backend := range r.old {
+		backend.Cut()
+		backend.Unregister()
+	}
+}
+
 // drain lets the servers of the ordered version leave.
 func (r *Rollout) drain(ctx context.Context) error {
 	if err := pause(ctx, cmp.Or(r.operator.Drain, usualDrain)); err != nil {
