--- a/standin/outside/server.go
+++ b/standin/outside/server.go
@@ -81,6 +81,8 @@
 	// gone tells that Cut ended the server, lost how many requests that cut off.
 	gone bool
 	lost int
+	// peak is the largest number of requests in flight.
+	peak int
 }
 
 // Start starts a backend server and registers it.
@@ -159,6 +161,13 @@
 	return b.misdirected
 }
 
+// Peak returns the largest number of requests that the server ran and held at a time.
+func (b *Backend) Peak() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.peak
+}
+
 // Seal returns the signature of an answer to a request.
 func (b *Backend) Seal(id string) string { return "seal." + b.ID + "." + id }
 
@@ -170,6 +179,7 @@
 		return false
 	}
 	b.waiting++
+	b.peak = max(b.peak, b.active+b.waiting)
 	stop := context.AfterFunc(ctx, func() {
 		b.mu.Lock()
 		defer b.mu.Unlock()
