--- a/soak/verdict/rollouts.go
+++ b/soak/verdict/rollouts.go
@@ -19,6 +19,8 @@
 	Counts outside.Counts
 	// Candidate are the requests that reached the ordered version.
 	Candidate []Run
+	// Shift is when all requests were first led to the ordered version, zero for never.
+	Shift time.Time
 	// Lingering tells that faults of backend servers kept requests there, or ended them.
 	Lingering bool
 }
@@ -32,6 +34,10 @@
 	// enoughAnswers is the number of answers from which on a version may be found good; few
 	// more, as some are on their way at the last moment.
 	enoughAnswers = 25
+	// telling is the number of bad answers in its trial from which on a version must not be
+	// taken for good: 28 answers of a route of which 7 in 10 are bad, with the worst quarter of
+	// the servers left out, and few answers of the old version to compare with.
+	telling = 20
 	// handover is the time in which another instance has taken the duty over and has written
 	// what is due: the lease, the next round of the others, and the last moment of an order.
 	handover = 5 * time.Second
@@ -46,7 +52,7 @@
 	for _, one := range r.Rollouts {
 		found = append(found, one.states()...)
 		found = append(found, r.inTime(one)...)
-		if one.Bad {
+		if one.Bad && !one.takenForGood() {
 			found = append(found, r.bounded(one, entries)...)
 		}
 		if one.Counts.Cut > 0 && !one.Lingering && !r.troubled(one.Span) {
@@ -62,13 +68,24 @@
 		if i > 0 && o.States[i-1].State != outside.InProgress && o.States[i-1].State != state.State {
 			found = append(found, fmt.Sprintf("roll-out: %q was written after %q", state.State, o.States[i-1].State))
 		}
-		if o.Bad && state.State == outside.Completed {
+		if o.Bad && state.State == outside.Completed && !o.takenForGood() {
 			found = append(found, "roll-out: a bad version was completed")
 		}
 	}
 	return found
 }
 
+// takenForGood tells whether a bad version came to its shift by too few bad answers to tell.
+func (o Rollout) takenForGood() bool {
+	before := 0
+	for _, at := range o.Counts.Bad {
+		if at.Before(o.Shift) {
+			before++
+		}
+	}
+	return !o.Shift.IsZero() && before < telling
+}
+
 // inTime checks that an order is decided by its deadline, or soon after the last fault that
 // kept the system from it, and that a good version is completed when there was none.
 func (r Record) inTime(o Rollout) (found []string) {
--- a/soak/verdict/rollouts_test.go
+++ b/soak/verdict/rollouts_test.go
@@ -56,6 +56,11 @@
 	return r
 }
 
+func shifted(r verdict.Record, ms int) verdict.Record {
+	r.Rollouts[0].Shift = at(ms)
+	return r
+}
+
 // TestRollouts guards against verdicts about orders that miss a broken promise, and against
 // ones that count what a fault excuses.
 func TestRollouts(t *testing.T) {
@@ -68,29 +73,32 @@
 		record verdict.Record
 		broken string
 	}{
-		"good, completed":                     {ordered(false, completed), ""},
-		"good, reverted":                      {reaching(ordered(false, reverted), 30, 3000), "good version was reverted"},
-		"good, reverted after few answers":    {reaching(ordered(false, reverted), 10, 3000), ""},
-		"good, reverted beside a fault":       {blinded(reaching(ordered(false, reverted), 30, 3000), 3, 2000, 2500), ""},
-		"good, requests cut":                  {cutting(ordered(false, completed), 2), "2 requests ran"},
-		"good, requests of faulty servers":    {lingering(cutting(ordered(false, completed), 2)), ""},
-		"bad, reverted":                       {reaching(ordered(true, reverted), 150, 3000), ""},
-		"bad, completed":                      {ordered(true, completed), "bad version was completed"},
-		"verdict turned round":                {ordered(false, turned), "after"},
-		"bad, exposed":                        {reaching(ordered(true, reverted), 151, 3000), "allowed are 150"},
-		"bad, exposed behind the deadline":    {reaching(ordered(true, reverted), 151, 8500), ""},
-		"bad, exposed by an instance cut off": {blinded(reaching(ordered(true, reverted), 151, 3000), 0, 1000, 2000), ""},
-		"bad, exposed, another one cut off":   {blinded(reaching(ordered(true, reverted), 151, 3000), 1, 1000, 2000), "allowed are 150"},
-		"bad, exposed, cut off long before":   {blinded(reaching(ordered(true, reverted), 151, 7000), 0, 1000, 2000), "allowed are 150"},
-		"bad, used too late":                  {badAnswers(reaching(ordered(true, reverted), 1, 6500), 50, 1400), "1 requests reached"},
-		"bad, used in time":                   {badAnswers(reaching(ordered(true, reverted), 1, 6500), 50, 1600), ""},
-		"bad, too few answers to know":        {badAnswers(reaching(ordered(true, reverted), 1, 6500), 49, 1400), ""},
-		"undecided":                           {ordered(true, open), "not decided"},
-		"decided late":                        {ordered(true, late), "not decided"},
-		"decided late behind a fault":         {blinded(ordered(true, late), verdict.Every, 6000, 7000), ""},
-		"decided late, long behind a fault":   {blinded(ordered(true, late), verdict.Every, 3000, 3900), "not decided"},
-		"undecided long behind a fault":       {blinded(ordered(true, open), verdict.Every, 3000, 3500), "not decided"},
-		"decided late, fault long before":     {blinded(ordered(true, late), verdict.Every, 1000, 2000), "not decided"},
+		"good, completed":                       {ordered(false, completed), ""},
+		"good, reverted":                        {reaching(ordered(false, reverted), 30, 3000), "good version was reverted"},
+		"good, reverted after few answers":      {reaching(ordered(false, reverted), 10, 3000), ""},
+		"good, reverted beside a fault":         {blinded(reaching(ordered(false, reverted), 30, 3000), 3, 2000, 2500), ""},
+		"good, requests cut":                    {cutting(ordered(false, completed), 2), "2 requests ran"},
+		"good, requests of faulty servers":      {lingering(cutting(ordered(false, completed), 2)), ""},
+		"bad, reverted":                         {reaching(ordered(true, reverted), 150, 3000), ""},
+		"bad, completed":                        {ordered(true, completed), "bad version was completed"},
+		"bad, completed after few bad answers":  {shifted(badAnswers(ordered(true, completed), 19, 3000), 4000), ""},
+		"bad, completed after many bad answers": {shifted(badAnswers(ordered(true, completed), 20, 3000), 4000), "bad version was completed"},
+		"bad, exposed without a shift":          {badAnswers(reaching(ordered(true, reverted), 151, 3000), 19, 3000), "allowed are 150"},
+		"verdict turned round":                  {ordered(false, turned), "after"},
+		"bad, exposed":                          {reaching(ordered(true, reverted), 151, 3000), "allowed are 150"},
+		"bad, exposed behind the deadline":      {reaching(ordered(true, reverted), 151, 8500), ""},
+		"bad, exposed by an instance cut off":   {blinded(reaching(ordered(true, reverted), 151, 3000), 0, 1000, 2000), ""},
+		"bad, exposed, another one cut off":     {blinded(reaching(ordered(true, reverted), 151, 3000), 1, 1000, 2000), "allowed are 150"},
+		"bad, exposed, cut off long before":     {blinded(reaching(ordered(true, reverted), 151, 7000), 0, 1000, 2000), "allowed are 150"},
+		"bad, used too late":                    {badAnswers(reaching(ordered(true, reverted), 1, 6500), 50, 1400), "1 requests reached"},
+		"bad, used in time":                     {badAnswers(reaching(ordered(true, reverted), 1, 6500), 50, 1600), ""},
+		"bad, too few answers to know":          {badAnswers(reaching(ordered(true, reverted), 1, 6500), 49, 1400), ""},
+		"undecided":                             {ordered(true, open), "not decided"},
+		"decided late":                          {ordered(true, late), "not decided"},
+		"decided late behind a fault":           {blinded(ordered(true, late), verdict.Every, 6000, 7000), ""},
+		"decided late, long behind a fault":     {blinded(ordered(true, late), verdict.Every, 3000, 3900), "not decided"},
+		"undecided long behind a fault":         {blinded(ordered(true, open), verdict.Every, 3000, 3500), "not decided"},
+		"decided late, fault long before":       {blinded(ordered(true, late), verdict.Every, 1000, 2000), "not decided"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			found := verdict.Judge(test.record)
--- a/soak/world/rollout.go
+++ b/soak/world/rollout.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"papayaport.dev/serving/process/clock"
@@ -17,6 +18,10 @@
 var services = []string{"app", "llm"}
 
 const (
+	// recordPrefix begins the keys of the system's own records, and shiftPhase is in one whose
+	// version gets all requests.
+	recordPrefix = "papayaport/rollouts/"
+	shiftPhase   = `"phase":"shift"`
 	// orderedVersion is what orders name.
 	orderedVersion = "v2"
 	// badShare is the part of its requests that a bad version fails: enough that few answers
@@ -156,6 +161,11 @@
 			r.Candidate = append(r.Candidate, verdict.Run{ID: arrival.ID, At: arrival.At, Server: b.ID})
 		}
 	}
+	for _, write := range w.store.Writes(recordPrefix + o.Service) {
+		if r.Shift.IsZero() && strings.Contains(string(write.Value), shiftPhase) {
+			r.Shift = write.At
+		}
+	}
 	r.Lingering = slices.ContainsFunc(w.faults, func(in *injected) bool {
 		return slices.Contains(lingering, in.Kind) && in.overlaps(r.Span)
 	})
