Let another new server take a repeat in a shift when the old ones are gone

A fault of the relay, found by TestRepeatsBehindAShift: a request that a new server failed in a shift was repeated at old servers only. Once "completed" had stopped these, and until the instance's next view, the repeat was refused and the caller got 502 although other new servers served. Where no old server takes the repeat, a shift now lets the candidate take it; a trial does not.

--- a/entry/relay/versions.go
+++ b/entry/relay/versions.go
@@ -63,6 +63,14 @@
 		request.Versions = versionsOf(pick)
 		choice, err = relay.Routes.Choose(time.Now(), *request)
 	}
+	if err != nil && r.failedAtCandidate {
+		// In a shift the old servers may have ended already: another server of the candidate
+		// takes the repeat. On trial it may not.
+		if again := relay.Picks.Pick(r.service, r.route.Name, false); again.Candidate && again.Most == 0 {
+			pick, request.Versions = again, versionsOf(again)
+			choice, err = relay.Routes.Choose(time.Now(), *request)
+		}
+	}
 	if err != nil {
 		return nil, err
 	}
--- a/entry/relay/versions_test.go
+++ b/entry/relay/versions_test.go
@@ -292,6 +292,22 @@
 			[]bool{true, false},
 			200,
 		},
+		"failed in shift, no old server": {
+			&told{pick: inShift.pick, repeat: inShift.repeat},
+			map[string]http.HandlerFunc{"v2": status(500)},
+			[]string{"v2", "v2"},
+			[]bool{false, true, false},
+			[]bool{true, true},
+			500,
+		},
+		"failed on trial, no old server": {
+			&told{pick: onTrial.pick, repeat: onTrial.repeat},
+			map[string]http.HandlerFunc{"v2": status(500)},
+			[]string{"v2"},
+			[]bool{false, true, false},
+			[]bool{true},
+			502, // it may have run
+		},
 		"not run in shift": {
 			&told{pick: inShift.pick, repeat: inShift.repeat},
 			map[string]http.HandlerFunc{"v1": fine, "v2": status(503, "Not-Run")},
