--- a/entry/relay/versions.go
+++ b/entry/relay/versions.go
@@ -88,11 +88,11 @@
 // route's target is then nearer to usual times, and keeps them within the range that evidence
 // tells apart, an eighth to sixteen times.
 func (r *run) expected(choice *route.Choice) time.Duration {
-	mean := choice.Mean()
+	basis := choice.Basis()
 	if r.call.Prompt != nil || r.route.Target <= 0 {
-		return mean
+		return basis
 	}
-	return time.Duration(math.Sqrt(float64(mean) * float64(r.route.Target)))
+	return time.Duration(math.Sqrt(float64(basis) * float64(r.route.Target)))
 }
 
 func versionsOf(pick rollout.Pick) route.Versions {
--- a/serving/request/route/choose.go
+++ b/serving/request/route/choose.go
@@ -41,6 +41,7 @@
 		FirstToken:   picked.FirstToken,
 		Cost:         picked.Cost,
 		mean:         picked.mean,
+		basis:        t.basis(at(now), picked),
 	}, nil
 }
 
--- a/serving/request/route/estimate.go
+++ b/serving/request/route/estimate.go
@@ -131,6 +131,20 @@
 	c.Cost = b.speed.prefillCost(uncached) + float64(decode)/float64(sharers)*b.speed.price
 }
 
+// basis returns the mean of an estimate with the time between tokens that the server reports
+// or is configured with, in place of the one that was observed.
+func (t *Table) basis(now moment, c *Candidate) time.Duration {
+	b := c.backend
+	answerTokens := t.request.AnswerTokens
+	if answerTokens <= 0 {
+		answerTokens = usualAnswerTokens
+	}
+	waiting := b.estimatedPrefill(now, b.reportFresh(now), t.parts)
+	uncached := max(t.request.PromptTokens-c.CachedTokens, 0)
+	length := max(time.Duration(answerTokens)*b.speed.between, b.ownLength(b.speed.between))
+	return b.speed.prefillTime(waiting+uncached) + b.speed.between + b.trip + slotWait(c.InFlight, b.speed.slots, length)
+}
+
 // ownLength returns the mean time that this entry instance's answers at the server may
 // still take.
 func (b *backend) ownLength(between time.Duration) time.Duration {
--- a/serving/request/route/route.go
+++ b/serving/request/route/route.go
@@ -92,13 +92,17 @@
 	Cost float64
 	// mean is the estimated mean time to the first token.
 	mean time.Duration
+	// basis is that of the server's reports and configuration alone.
+	basis time.Duration
 	// counted tells that the request has a place in the limit that the server named.
 	counted bool
 }
 
-// Mean returns the estimated mean time to the first token, which a ratio of times is taken
-// against.
-func (c *Choice) Mean() time.Duration { return c.mean }
+// Basis returns the estimated mean time to the first token without what was learned from the
+// server's own answers. Ratios of times are taken against it: an estimate that had adapted to a
+// slow server would hide that it is slow, and a new server would look slow beside one that the
+// estimate knows.
+func (c Choice) Basis() time.Duration { return c.basis }
 
 // Result tells how an attempt ended.
 type Result int
--- a/serving/request/route/versions_test.go
+++ b/serving/request/route/versions_test.go
@@ -110,3 +110,33 @@
 	require.Len(t, next, 2)
 	require.NotContains(t, next, closed)
 }
+
+// TestBasis guards against a good new version that looks slow because the estimates know the
+// old servers, and against a slow one that they have adapted to.
+func TestBasis(t *testing.T) {
+	list := backends(2)
+	list[0].Version, list[1].Version = "v1", "v2"
+	list[1].FailureDomain = list[0].FailureDomain
+	table := seededTable(t, route.Papayaport, list, 1)
+	pick := func(version string) route.Choice {
+		request := filing("text "+version, 2)
+		request.Versions.Only = version
+		return choose(t, table, start, request)
+	}
+	before := pick("v1").Basis()
+	require.Equal(t, before, pick("v2").Basis())
+	request := filing("text v1", 2)
+	request.Versions.Only = "v1"
+	send(t, table, start, "slow", request)
+	now := start.Add(time.Second)
+	table.FirstToken(now, "slow", 0)
+	for range 20 {
+		now = now.Add(500 * time.Millisecond)
+		table.Token(now, "slow")
+	}
+	table.Done(now, "slow", route.OK, 0)
+	table.Report(now, id(0), load(0))
+	known := choose(t, table, now, request)
+	require.Greater(t, known.FirstToken, 500*time.Millisecond, "the estimate has adapted")
+	require.LessOrEqual(t, known.Basis(), before)
+}
