--- a/serving/request/route/choose.go
+++ b/serving/request/route/choose.go
@@ -27,6 +27,7 @@
 		Cost:         picked.Cost,
 		mean:         picked.mean,
 		ahead:        picked.ahead,
+		basis:        t.basis(at(now), picked),
 	}, nil
 }
 
