--- a/entry/site/occupancy.go
+++ b/entry/site/occupancy.go
@@ -48,6 +48,8 @@
 	exchanged atomic.Int64
 	// exchanging tells that a round with the other collectors is under way.
 	exchanging atomic.Bool
+	// runs tells whether occupancy is exchanged at all.
+	runs atomic.Bool
 
 	lost                        *metrics.Counter
 	reports, exchanges, answers *metrics.Counter
@@ -62,7 +64,12 @@
 		exchanges: meters.NewCounter(`papayaport_occupancy_messages_total{kind="exchange"}`),
 		answers:   meters.NewCounter(`papayaport_occupancy_messages_total{kind="answer"}`),
 	}
-	meters.NewGauge("papayaport_occupancy_age_seconds", func() float64 { return o.reporter.Age(clock.Boot()).Seconds() })
+	meters.NewGauge("papayaport_occupancy_age_seconds", func() float64 {
+		if !o.runs.Load() {
+			return 0
+		}
+		return o.reporter.Age(clock.Boot()).Seconds()
+	})
 	return o
 }
 
@@ -165,6 +172,7 @@
 
 // limitChoice limits the choice of servers for prompts where occupancy is exchanged.
 func (s *Site) limitChoice(runs bool) {
+	s.occupied.runs.Store(runs)
 	if runs {
 		s.routes.SetWidth(choiceWidth)
 		return
--- a/entry/site/occupancy_fleet_test.go
+++ b/entry/site/occupancy_fleet_test.go
@@ -104,6 +104,7 @@
 		}
 	}
 	require.Eventually(t, all(fleet, 7), 5*time.Second, 20*time.Millisecond)
+	require.True(t, fleet[0].occupied.runs.Load())
 	lost := fleet[0].lookAtCollectors(clock.Boot()).asked[0].Instance
 	var live []*occupiedSite
 	for _, one := range fleet {
