--- a/soak/world/play.go
+++ b/soak/world/play.go
@@ -224,6 +224,7 @@
 // recover checks that all entry instances serve every kind of request again.
 func (w *World) recover(ctx context.Context) error {
 	end := time.Now().Add(recoveryBound)
+	w.mendVersions()
 	if err := w.untilReady(ctx, recoveryBound); err != nil {
 		if ctx.Err() != nil {
 			return err // the soak was interrupted
--- a/soak/world/rollout.go
+++ b/soak/world/rollout.go
@@ -127,6 +127,17 @@
 	})
 }
 
+// mendVersions ends what versions do wrong: one that was taken for good serves from then on.
+func (w *World) mendVersions() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, o := range w.rollouts {
+		for _, b := range o.Fresh() {
+			b.SetDefect(outside.Defect{})
+		}
+	}
+}
+
 // untilDecided waits until each order has come to its last state.
 func (w *World) untilDecided(ctx context.Context, end time.Time) error {
 	w.mu.Lock()
