--- a/entry/relay/outcomes_test.go
+++ b/entry/relay/outcomes_test.go
@@ -115,8 +115,8 @@
 			outcomes := &told{}
 			relay, _ := newRelay(t, outcomes, nil)
 			r := &run{relay: relay, route: &deployment.Route{}, service: "app"}
-			a := &attempt{cancel: func(error) {}, tale: tale{outcomes: outcomes}}
-			a.tale.began(time.Now())
+			a := &attempt{cancel: func(error) {}, observation: observation{outcomes: outcomes}}
+			a.observation.began(time.Now())
 			r.noteFailure(a, test.err)
 			require.Len(t, outcomes.answers, test.answers)
 			require.Equal(t, test.dropped, outcomes.dropped)
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -234,7 +234,7 @@
 		parts.Picks = anyVersion{}
 	}
 	if parts.Outcomes == nil {
-		parts.Outcomes = untold{}
+		parts.Outcomes = noOutcomes{}
 	}
 	return &Relay{Parts: parts}
 }
--- a/entry/relay/run.go
+++ b/entry/relay/run.go
@@ -220,8 +220,8 @@
 	onTrial bool
 	// declined tells that the server answered whole that it won't do the request, which is no
 	// failure of its version.
-	declined bool
-	tale     tale
+	declined    bool
+	observation observation
 }
 
 // send makes one attempt up to the head of its answer. The attempt is settled by settle.
@@ -252,7 +252,7 @@
 				return false
 			}
 			relay.Picks.Sent(r.service, r.route.Name, a.picked)
-			a.tale.began(sentAt)
+			a.observation.began(sentAt)
 			return true
 		},
 	})
@@ -266,7 +266,7 @@
 		relay.Servers.Asked(sentAt, choice.Backend, a.answer.Asked)
 	}
 	if r.route.Kind != deployment.Streaming && !a.answer.NotRun {
-		a.tale.first()
+		a.observation.first()
 	}
 	relay.odd.note(relay.Log, choice.Backend.ID, "a field that is not known", a.answer.Unknown)
 	relay.odd.note(relay.Log, choice.Backend.ID, "a field that can't be read", a.answer.Unreadable)
@@ -293,7 +293,7 @@
 	}
 	r.relay.Meters.noteEndless(r.service, err)
 	if !sent {
-		a.tale.drop()
+		a.observation.drop()
 	}
 	r.settle(a, result)
 	r.excluded = append(r.excluded, a.choice.Backend.ID)
@@ -347,7 +347,7 @@
 		result = route.OK
 	}
 	r.noteCandidate(a, result)
-	a.tale.end(now, result, r.events-a.tale.events)
+	a.observation.end(now, result, r.events-a.observation.events)
 	if a.response != nil {
 		a.response.Close()
 	}
--- a/entry/relay/silence.go
+++ b/entry/relay/silence.go
@@ -18,7 +18,7 @@
 func (r *run) watchSilence(a *attempt, sent int) *time.Timer {
 	var timer *time.Timer
 	timer = time.AfterFunc(time.Hour, func() {
-		a.tale.silent(time.Now())
+		a.observation.silent(time.Now())
 		if !r.route.MayRepeat() || sent >= r.route.MaxAttempts {
 			return
 		}
--- a/entry/relay/stream.go
+++ b/entry/relay/stream.go
@@ -129,7 +129,7 @@
 		r.progress = now
 		if first {
 			r.began()
-			a.tale.first()
+			a.observation.first()
 			r.relay.Routes.FirstToken(now, a.id, 0)
 		} else {
 			r.relay.Routes.Token(now, a.id)
--- a/entry/relay/versions.go
+++ b/entry/relay/versions.go
@@ -25,20 +25,20 @@
 // IsCandidate implements Picks.
 func (anyVersion) IsCandidate(string, string) bool { return false }
 
-// untold is the Outcomes of a deployment without roll-outs.
-type untold struct{}
+// noOutcomes is the Outcomes of a deployment without roll-outs.
+type noOutcomes struct{}
 
 // Began implements Outcomes.
-func (untold) Began(rollout.Attempt) uint64 { return 0 }
+func (noOutcomes) Began(rollout.Attempt) uint64 { return 0 }
 
 // First implements Outcomes.
-func (untold) First(uint64) {}
+func (noOutcomes) First(uint64) {}
 
 // Dropped implements Outcomes.
-func (untold) Dropped(uint64) {}
+func (noOutcomes) Dropped(uint64) {}
 
 // Answered implements Outcomes.
-func (untold) Answered(rollout.Answer, string) {}
+func (noOutcomes) Answered(rollout.Answer, string) {}
 
 // Kinds of failures that are told to Outcomes.
 const (
@@ -75,7 +75,7 @@
 		return nil, err
 	}
 	onTrial := pick.Candidate && pick.Most > 0 // the trial uses a few servers, later phases all
-	return &attempt{id: relay.attemptID(r.call), choice: choice, picked: pick.Candidate, onTrial: onTrial, tale: tale{
+	return &attempt{id: relay.attemptID(r.call), choice: choice, picked: pick.Candidate, onTrial: onTrial, observation: observation{
 		outcomes: relay.Outcomes, events: r.events, attempt: rollout.Attempt{
 			Service: r.service, Route: r.route.Name, Server: choice.Backend.ID, Estimate: r.expected(&choice),
 			Candidate: relay.Picks.IsCandidate(r.service, choice.Backend.Version),
@@ -104,14 +104,14 @@
 // where few servers take few requests, and otherwise when the server failed it.
 func (r *run) noteCandidate(a *attempt, result route.Result) {
 	_, failed := failures[result]
-	if a.tale.attempt.Candidate && result != route.OK && (a.onTrial || (failed && a.tale.isSent())) {
+	if a.observation.attempt.Candidate && result != route.OK && (a.onTrial || (failed && a.observation.isSent())) {
 		r.failedAtCandidate = true
 	}
 }
 
-// tale is what Outcomes is told of one attempt. Its end is told once, by the goroutine of
+// observation is what Outcomes is told of one attempt. Its end is told once, by the goroutine of
 // the request or by the timer of its silence. Nothing but Outcomes is called under mu.
-type tale struct {
+type observation struct {
 	outcomes Outcomes
 	attempt  rollout.Attempt
 	// events is the number of events that the caller had before.
@@ -125,66 +125,66 @@
 }
 
 // began tells that the attempt goes out now.
-func (t *tale) began(now time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.sentAt, t.number = now, t.outcomes.Began(t.attempt)
+func (o *observation) began(now time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.sentAt, o.number = now, o.outcomes.Began(o.attempt)
 }
 
-func (t *tale) isSent() bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return !t.sentAt.IsZero()
+func (o *observation) isSent() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return !o.sentAt.IsZero()
 }
 
 // first tells that the first event of a stream, or the head of an answer, is there.
-func (t *tale) first() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.number != 0 && !t.ended {
-		t.outcomes.First(t.number)
+func (o *observation) first() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.number != 0 && !o.ended {
+		o.outcomes.First(o.number)
 	}
 }
 
 // silent tells a failure for an attempt that stayed without a sign for as long as one that
 // may be repeated is given. It may go on to wait, and is not told again.
-func (t *tale) silent(now time.Time) {
-	t.mu.Lock()
-	short := t.isShort(now)
-	t.mu.Unlock()
+func (o *observation) silent(now time.Time) {
+	o.mu.Lock()
+	short := o.isShort(now)
+	o.mu.Unlock()
 	if !short {
-		t.end(now, route.Silent, 0)
+		o.end(now, route.Silent, 0)
 	}
 }
 
 // isShort tells whether the server had too little time to be called silent, since the
 // connection took the larger part of it; mu is held.
-func (t *tale) isShort(now time.Time) bool { return now.Sub(t.sentAt) < shortestSilence/2 }
+func (o *observation) isShort(now time.Time) bool { return now.Sub(o.sentAt) < shortestSilence/2 }
 
 // drop tells that the attempt never reached its server.
-func (t *tale) drop() { t.end(time.Now(), route.Refused, 0) }
+func (o *observation) drop() { o.end(time.Now(), route.Refused, 0) }
 
 // end tells how the attempt ended, with the number of events that the caller has of it.
-func (t *tale) end(now time.Time, result route.Result, events int) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.number == 0 || t.ended {
+func (o *observation) end(now time.Time, result route.Result, events int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.number == 0 || o.ended {
 		return
 	}
-	t.ended = true
+	o.ended = true
 	kind, failed := failures[result]
-	waited := now.Sub(t.sentAt)
-	if (!failed && result != route.OK) || (result == route.Silent && t.isShort(now)) {
-		t.outcomes.Dropped(t.number)
+	waited := now.Sub(o.sentAt)
+	if (!failed && result != route.OK) || (result == route.Silent && o.isShort(now)) {
+		o.outcomes.Dropped(o.number)
 		return
 	}
 	answer := rollout.Answer{
-		Attempt: t.number, Service: t.attempt.Service, Route: t.attempt.Route, Server: t.attempt.Server,
-		Candidate: t.attempt.Candidate, Failed: failed,
+		Attempt: o.number, Service: o.attempt.Service, Route: o.attempt.Route, Server: o.attempt.Server,
+		Candidate: o.attempt.Candidate, Failed: failed,
 	}
-	if !failed && t.attempt.Estimate > 0 {
-		answer.FirstRatio = float64(waited) / float64(t.attempt.Estimate)
-		answer.WholeRatio = float64(waited) / float64(t.attempt.Estimate+time.Duration(events)*eventTime)
+	if !failed && o.attempt.Estimate > 0 {
+		answer.FirstRatio = float64(waited) / float64(o.attempt.Estimate)
+		answer.WholeRatio = float64(waited) / float64(o.attempt.Estimate+time.Duration(events)*eventTime)
 	}
-	t.outcomes.Answered(answer, kind)
+	o.outcomes.Answered(answer, kind)
 }
--- a/entry/site/rollout_picks.go
+++ b/entry/site/rollout_picks.go
@@ -25,7 +25,7 @@
 
 // Began notes an attempt that goes out, and returns its number, 0 without a roll-out.
 func (r *rollouts) Began(attempt rollout.Attempt) uint64 {
-	number := r.book.Began(time.Now(), attempt)
+	number := r.recorder.Began(time.Now(), attempt)
 	if number != 0 {
 		r.meters.GetOrCreateCounter(fmt.Sprintf("papayaport_rollout_requests_total{service=%q,cohort=%q}",
 			attempt.Service, cohort(attempt.Candidate))).Inc()
@@ -34,14 +34,14 @@
 }
 
 // First notes the first event of an attempt.
-func (r *rollouts) First(attempt uint64) { r.book.First(time.Now(), attempt) }
+func (r *rollouts) First(attempt uint64) { r.recorder.First(time.Now(), attempt) }
 
 // Dropped notes an attempt that ended without telling anything of its server.
-func (r *rollouts) Dropped(attempt uint64) { r.book.Dropped(attempt) }
+func (r *rollouts) Dropped(attempt uint64) { r.recorder.Dropped(attempt) }
 
 // Answered counts an attempt that ended; kind names a failure.
 func (r *rollouts) Answered(answer rollout.Answer, kind string) {
-	r.book.Answered(answer)
+	r.recorder.Answered(answer)
 	if answer.Failed {
 		r.meters.GetOrCreateCounter(fmt.Sprintf("papayaport_rollout_bad_total{service=%q,cohort=%q,kind=%q}",
 			answer.Service, cohort(answer.Candidate), kind)).Inc()
--- a/entry/site/rollout_questions.go
+++ b/entry/site/rollout_questions.go
@@ -75,7 +75,7 @@
 	order, phase := r.gate.Applied(service)
 	report := rollout.Report{
 		Service: service, Order: order, Applied: phase, Instance: s.set.Instance, Incarnation: s.incarnation(),
-		Evidence: r.book.Evidence(time.Now(), service),
+		Evidence: r.recorder.Evidence(time.Now(), service),
 	}
 	for _, use := range s.routes.Use() {
 		server, found := s.routes.Backend(use.Backend)
--- a/entry/site/rollouts.go
+++ b/entry/site/rollouts.go
@@ -41,14 +41,14 @@
 // rollouts is this instance's part in roll-outs. It decides for the relay which versions
 // attempts may use, and keeps what the holder of the duties decides on.
 //
-// mu is held for short steps, and while the gate and the book are told of a state, so that
+// mu is held for short steps, and while the gate and the recorder are told of a state, so that
 // an older one never follows a newer one. Those two call nothing while they are locked. No
 // other lock is taken under mu.
 type rollouts struct {
-	gate    *rollout.Gate
-	book    *rollout.Book
-	decider *rollout.Decider
-	meters  *metrics.Set
+	gate     *rollout.Gate
+	recorder *rollout.Recorder
+	decider  *rollout.Decider
+	meters   *metrics.Set
 
 	mu      sync.Mutex
 	orders  []rollout.Order
@@ -92,7 +92,7 @@
 	gate := rollout.NewGate(limits)
 	gate.SetState(clock.Boot(), rollout.State{}) // it tells pauses of the process from now on
 	return &rollouts{
-		gate: gate, book: rollout.NewBook(), decider: rollout.NewDecider(limits), meters: meters,
+		gate: gate, recorder: rollout.NewRecorder(), decider: rollout.NewDecider(limits), meters: meters,
 		records: map[string]knownRecord{}, applied: map[string]appliedPhase{}, reports: map[string]map[string]heardReport{},
 		unread: map[string]bool{}, asked: map[string]bool{}, seen: map[string]uint64{},
 	}
@@ -190,7 +190,7 @@
 	return all
 }
 
-// applyRollouts tells the gate and the book what is known, and logs phases that are new here.
+// applyRollouts tells the gate and the recorder what is known, and logs phases that are new here.
 func (s *Site) applyRollouts(servers []directory.Server) {
 	r := s.rollouts
 	entries := s.entries()
@@ -208,7 +208,7 @@
 		if !phase.InProgress() {
 			followed = 0
 		}
-		r.book.Follow(service, followed)
+		r.recorder.Follow(service, followed)
 		s.noteApplied(service, order, phase)
 	}
 }
--- a/serving/version/rollout/course.go
+++ b/serving/version/rollout/course.go
@@ -62,7 +62,7 @@
 	uncertainAt uint64
 }
 
-func newCourse(l *look, order uint64) *course {
+func newCourse(l *situation, order uint64) *course {
 	c := &course{order: order, last: l.now, startedMS: l.now.UnixMilli()}
 	if l.held && l.stored.Order == order {
 		since := l.now.UnixMilli() - l.stored.StartedMS
@@ -92,7 +92,7 @@
 }
 
 // learn takes in the reports and judges the candidate. A bad verdict stays.
-func (c *course) learn(l *look) {
+func (c *course) learn(l *situation) {
 	c.pool.take(l.reports, c.order)
 	c.evidence = c.pool.sum()
 	if c.finding.Verdict == Bad {
@@ -115,7 +115,7 @@
 }
 
 // trial decides about a roll-out in trial.
-func (c *course) trial(l *look) *Decision {
+func (c *course) trial(l *situation) *Decision {
 	c.settle(l)
 	if c.decided == "" {
 		return c.goOn(l)
@@ -137,7 +137,7 @@
 
 // settle decides how the trial ends, once it can. Of what is decided only a shift may change,
 // to a bad verdict.
-func (c *course) settle(l *look) {
+func (c *course) settle(l *situation) {
 	duration := time.Duration(l.stored.DurationMS) * time.Millisecond
 	pooled := c.elapsed-c.begun >= poolTime
 	late := c.elapsed >= lastMoment(duration) && pooled
@@ -161,7 +161,7 @@
 }
 
 // goOn renews the permits of a trial, and saves its evidence from time to time.
-func (c *course) goOn(l *look) *Decision {
+func (c *course) goOn(l *situation) *Decision {
 	decision := &Decision{Record: l.stored.Record, Permit: true, Finding: c.finding}
 	duration := time.Duration(l.stored.DurationMS) * time.Millisecond
 	quiet := c.elapsed >= shiftFrom(duration)-evidenceQuiet
@@ -176,7 +176,7 @@
 }
 
 // shift decides about a roll-out in shift.
-func (c *course) shift(l *look) *Decision {
+func (c *course) shift(l *situation) *Decision {
 	record := l.stored.Record
 	if c.uncertain && c.uncertainAt != l.stored.Revision {
 		c.uncertain = false // the record says what became of the write
@@ -200,7 +200,7 @@
 	return &Decision{Record: record, Permit: true, Finding: c.finding}
 }
 
-func (c *course) complete(l *look) *Decision {
+func (c *course) complete(l *situation) *Decision {
 	record := l.stored.Record
 	record.Phase, record.Reason = Completed, "good"
 	record.From = l.others(record)
@@ -230,7 +230,7 @@
 }
 
 // enough tells whether the candidate has enough ready servers for the service.
-func (l *look) enough() bool {
+func (l *situation) enough() bool {
 	ready := l.versions[l.stored.To]
 	if ready.Count == 0 {
 		return false
@@ -256,7 +256,7 @@
 
 // applied tells whether all instances that respond follow the shift and none has requests at
 // old servers.
-func (l *look) applied(order uint64) bool {
+func (l *situation) applied(order uint64) bool {
 	for _, report := range l.reports {
 		if report.Order != order || report.Applied != Shift || report.InFlightOld > 0 {
 			return false
--- a/serving/version/rollout/decider.go
+++ b/serving/version/rollout/decider.go
@@ -35,8 +35,8 @@
 	at            time.Time
 }
 
-// look is what a decision about one service is made on.
-type look struct {
+// situation is what a decision about one service is made on.
+type situation struct {
 	now      time.Time
 	fencing  uint64
 	service  string
@@ -77,28 +77,28 @@
 func (d *Decider) Decide(now time.Time, in Input) []Decision {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	looks := d.looks(now, in)
+	situations := d.situations(now, in)
 	var decisions []Decision
-	for _, service := range slices.Sorted(maps.Keys(looks)) {
-		decisions = append(decisions, d.decide(looks[service])...)
+	for _, service := range slices.Sorted(maps.Keys(situations)) {
+		decisions = append(decisions, d.decide(situations[service])...)
 	}
 	maps.DeleteFunc(d.courses, func(service string, _ *course) bool {
-		return looks[service] == nil
+		return situations[service] == nil
 	})
 	return decisions
 }
 
 // looks sorts the input by service.
-func (d *Decider) looks(now time.Time, in Input) map[string]*look {
-	looks := make(map[string]*look)
-	of := func(service string) *look {
-		l := looks[service]
+func (d *Decider) situations(now time.Time, in Input) map[string]*situation {
+	situations := make(map[string]*situation)
+	of := func(service string) *situation {
+		l := situations[service]
 		if l == nil {
-			l = &look{
+			l = &situation{
 				now: now, fencing: in.Fencing, service: service,
 				versions: in.Servers[service], unheard: in.Unheard,
 			}
-			looks[service] = l
+			situations[service] = l
 		}
 		return l
 	}
@@ -111,18 +111,18 @@
 		l.stored, l.held = stored, true
 	}
 	for _, report := range in.Reports {
-		if l := looks[report.Service]; l != nil {
+		if l := situations[report.Service]; l != nil {
 			l.reports = append(l.reports, report)
 		}
 	}
-	for _, l := range looks {
+	for _, l := range situations {
 		d.overlay(l)
 	}
-	return looks
+	return situations
 }
 
 // overlay puts the last accepted write in place of a stored record that does not show it yet.
-func (d *Decider) overlay(l *look) {
+func (d *Decider) overlay(l *situation) {
 	last, ok := d.writes[l.service]
 	if !ok {
 		return
@@ -138,7 +138,7 @@
 }
 
 // decide decides about one service.
-func (d *Decider) decide(l *look) []Decision {
+func (d *Decider) decide(l *situation) []Decision {
 	if l.held && l.stored.Fencing > l.fencing {
 		return nil // superseded
 	}
@@ -159,7 +159,7 @@
 }
 
 // notReadable tells once of an order that can't be read.
-func (d *Decider) notReadable(l *look) []Decision {
+func (d *Decider) notReadable(l *situation) []Decision {
 	if d.unreadable[l.service] == l.order.Revision {
 		return nil
 	}
@@ -172,7 +172,7 @@
 }
 
 // course returns what is known of an order, and starts it with its first look.
-func (d *Decider) course(l *look, order uint64) *course {
+func (d *Decider) course(l *situation, order uint64) *course {
 	c := d.courses[l.service]
 	if c == nil || c.order != order {
 		c = newCourse(l, order)
@@ -184,7 +184,7 @@
 }
 
 // follow continues a roll-out whose record is stored.
-func (d *Decider) follow(l *look) []Decision {
+func (d *Decider) follow(l *situation) []Decision {
 	if !l.stored.Phase.InProgress() {
 		return nil
 	}
@@ -206,7 +206,7 @@
 
 // finish completes a decision: a write waits while the record's revision is unknown, and a step
 // that was returned before is marked.
-func (l *look) finish(c *course, decision *Decision) []Decision {
+func (l *situation) finish(c *course, decision *Decision) []Decision {
 	if decision == nil {
 		return nil
 	}
--- a/serving/version/rollout/decider_test.go
+++ b/serving/version/rollout/decider_test.go
@@ -287,7 +287,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			l := &look{
+			l := &situation{
 				stored:   Stored{Record: Record{To: "v2", From: []string{"v1"}}},
 				versions: map[string]Servers{"v1": test.old, "v2": test.ready},
 				reports:  test.reports, unheard: test.unheard,
--- a/serving/version/rollout/evidence_test.go
+++ b/serving/version/rollout/evidence_test.go
@@ -123,7 +123,7 @@
 // TestBook guards against attempts counted twice, under another order, or not at all while they
 // wait.
 func TestBook(t *testing.T) {
-	b := NewBook()
+	b := NewRecorder()
 	attempt := Attempt{
 		Service: "bench", Route: "review", Server: "s1", Candidate: true, Estimate: time.Second,
 	}
@@ -175,7 +175,7 @@
 
 // TestBookBoundsAttempts guards against callers that never end what they began.
 func TestBookBoundsAttempts(t *testing.T) {
-	b := NewBook()
+	b := NewRecorder()
 	b.Follow("bench", 7)
 	for range 2 * attemptsMost {
 		b.Began(start, Attempt{Service: "bench", Estimate: time.Second})
--- a/serving/version/rollout/gate.go
+++ b/serving/version/rollout/gate.go
@@ -32,14 +32,14 @@
 	mu       sync.Mutex
 	limits   Limits
 	entries  int // most entry instances seen
-	services map[string]*lane
+	services map[string]*serviceState
 	permits  map[string]*lease
 	awake    wakefulness
 }
 
-// lane is what an instance knows of one service. Its pick lists are computed with each state
+// serviceState is what an instance knows of one service. Its pick lists are computed with each state
 // and never changed, since picks share them.
-type lane struct {
+type serviceState struct {
 	order   Order
 	ordered bool
 	record  Record
@@ -59,7 +59,7 @@
 func NewGate(limits Limits) *Gate {
 	return &Gate{
 		limits:   limits,
-		services: make(map[string]*lane),
+		services: make(map[string]*serviceState),
 		permits:  make(map[string]*lease),
 	}
 }
@@ -74,10 +74,10 @@
 		l.ordered = false
 	}
 	for _, order := range state.Orders {
-		g.lane(order.Service).setOrder(order)
+		g.serviceState(order.Service).setOrder(order)
 	}
 	for _, record := range state.Records {
-		g.lane(record.Service).setRecord(record)
+		g.serviceState(record.Service).setRecord(record)
 	}
 	for service, l := range g.services {
 		if !l.ordered && !l.held {
@@ -89,23 +89,23 @@
 	}
 }
 
-func (g *Gate) lane(service string) *lane {
+func (g *Gate) serviceState(service string) *serviceState {
 	l := g.services[service]
 	if l == nil {
-		l = &lane{}
+		l = &serviceState{}
 		g.services[service] = l
 	}
 	return l
 }
 
-func (l *lane) setOrder(order Order) {
+func (l *serviceState) setOrder(order Order) {
 	l.ordered = true
 	if order.Revision >= l.order.Revision {
 		l.order = order
 	}
 }
 
-func (l *lane) setRecord(record Record) {
+func (l *serviceState) setRecord(record Record) {
 	stale := record.Order < l.record.Order ||
 		record.Order == l.record.Order && record.Phase.rank() < l.record.Phase.rank()
 	if l.held && stale {
@@ -115,7 +115,7 @@
 }
 
 // settle computes what picks of a service follow.
-func (g *Gate) settle(l *lane, state State, service string) {
+func (g *Gate) settle(l *serviceState, state State, service string) {
 	old, known := state.OldServers[service]
 	l.restrict = !known || old > 0
 	l.phase = l.applied()
@@ -138,12 +138,12 @@
 }
 
 // pending tells whether the newest order has no record yet.
-func (l *lane) pending() bool {
+func (l *serviceState) pending() bool {
 	return l.ordered && l.order.Readable() && (!l.held || l.order.Revision > l.record.Order)
 }
 
 // following returns the revision of the order that exposure is counted for.
-func (l *lane) following() uint64 {
+func (l *serviceState) following() uint64 {
 	if l.pending() {
 		return l.order.Revision
 	}
@@ -152,7 +152,7 @@
 
 // applied returns the phase that picks follow, empty while the order has no record. A record in
 // progress whose order was withdrawn is followed as reverted before the holder has written it.
-func (l *lane) applied() Phase {
+func (l *serviceState) applied() Phase {
 	switch {
 	case !l.held || l.pending():
 		return ""
@@ -163,14 +163,14 @@
 }
 
 // candidate returns the version on trial or in shift, empty without one.
-func (l *lane) candidate() string {
+func (l *serviceState) candidate() string {
 	if l.phase.InProgress() {
 		return l.record.To
 	}
 	return ""
 }
 
-func (l *lane) barredVersions() []string {
+func (l *serviceState) barredVersions() []string {
 	var barred []string
 	if l.held {
 		barred = with(barred, l.record.Barred...)
@@ -194,7 +194,7 @@
 
 // trusted tells whether the newest order names the one version that the record leaves in use.
 // Without it nothing would serve until the order has a record.
-func (l *lane) trusted() bool {
+func (l *serviceState) trusted() bool {
 	if l.record.Phase == Completed {
 		return l.record.To == l.order.To
 	}
@@ -246,7 +246,7 @@
 	return Pick{Candidate: true, Only: l.record.To, Not: l.barred, Most: l.most}
 }
 
-func (g *Gate) fresh(now time.Time, service string, l *lane) bool {
+func (g *Gate) fresh(now time.Time, service string, l *serviceState) bool {
 	held := g.permits[service]
 	return held != nil && held.order == l.record.Order && held.fresh(now)
 }
--- a/serving/version/rollout/orders.go
+++ b/serving/version/rollout/orders.go
@@ -10,7 +10,7 @@
 const barredMost = 64
 
 // begin returns the first record of an order.
-func (l *look) begin(c *course) *Decision {
+func (l *situation) begin(c *course) *Decision {
 	if l.held && l.stored.To == l.order.To {
 		switch {
 		case l.stored.Phase == Completed:
@@ -38,7 +38,7 @@
 }
 
 // repeat answers an order that asks again for what was settled.
-func (l *look) repeat(c *course, reason string) *Decision {
+func (l *situation) repeat(c *course, reason string) *Decision {
 	record := l.stored.Record
 	record.Order, record.Reason = l.order.Revision, reason
 	record.StartedMS, record.DurationMS = c.startedMS, l.order.Duration.Milliseconds()
@@ -48,7 +48,7 @@
 }
 
 // withdrawn settles a record whose order the operator took back.
-func (l *look) withdrawn() *Decision {
+func (l *situation) withdrawn() *Decision {
 	record := l.stored.Record
 	switch {
 	case record.Phase.InProgress():
@@ -65,7 +65,7 @@
 }
 
 // bars returns the versions that the stored record leaves barred under a new order.
-func (l *look) bars() []string {
+func (l *situation) bars() []string {
 	bars := slices.Clone(l.stored.Barred)
 	if l.stored.Phase == Completed {
 		bars = with(bars, l.stored.From...)
@@ -85,7 +85,7 @@
 
 // others returns the old versions of a record: those it names, and those with servers that it
 // neither bars nor moves to.
-func (l *look) others(record Record) []string {
+func (l *situation) others(record Record) []string {
 	others := slices.Clone(record.From)
 	for _, version := range slices.Sorted(maps.Keys(l.versions)) {
 		if version != record.To && !slices.Contains(record.Barred, version) {
--- a/serving/version/rollout/book.go
+++ b/serving/version/rollout/recorder.go
@@ -5,17 +5,17 @@
 	"time"
 )
 
-// attemptsMost bounds the attempts that a book watches at a time. It is a guard against callers
+// attemptsMost bounds the attempts that a recorder watches at a time. It is a guard against callers
 // that neither answer nor drop what they began; an instance runs a few hundred.
 const attemptsMost = 8192
 
-// Book counts how the attempts of one entry instance ended, for each roll-out in progress.
+// Recorder counts how the attempts of one entry instance ended, for each roll-out in progress.
 //
 // An attempt is begun when it goes out and ends as answered or dropped. Attempts that are only
 // answered, with the number 0, count too, but a server that never answers is then seen late.
 //
-// Book is safe for several goroutines. Its lock is the only one, and nothing is called with it.
-type Book struct {
+// Recorder is safe for several goroutines. Its lock is the only one, and nothing is called with it.
+type Recorder struct {
 	mu       sync.Mutex
 	last     uint64 // number of the last attempt begun
 	services map[string]*page
@@ -35,48 +35,48 @@
 	first bool // its first event is booked
 }
 
-// NewBook returns an empty book.
-func NewBook() *Book {
-	return &Book{services: make(map[string]*page), attempts: make(map[uint64]*begun)}
+// NewRecorder returns an empty recorder.
+func NewRecorder() *Recorder {
+	return &Recorder{services: make(map[string]*page), attempts: make(map[uint64]*begun)}
 }
 
 // Follow starts the counts of a service's order, and drops those of the one before. Repeated
 // for the same order it changes nothing; with order 0 the service is not counted any more.
-func (b *Book) Follow(service string, order uint64) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if old := b.services[service]; old != nil && old.order == order {
+func (r *Recorder) Follow(service string, order uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if old := r.services[service]; old != nil && old.order == order {
 		return
 	}
-	delete(b.services, service)
-	for number, attempt := range b.attempts {
+	delete(r.services, service)
+	for number, attempt := range r.attempts {
 		if attempt.Service == service {
-			delete(b.attempts, number)
+			delete(r.attempts, number)
 		}
 	}
 	if order != 0 {
-		b.services[service] = &page{order: order}
+		r.services[service] = &page{order: order}
 	}
 }
 
 // Began notes an attempt that waits for its first event or answer, and returns its number, 0
 // for a service without a roll-out. Now is of a monotonic clock.
-func (b *Book) Began(now time.Time, attempt Attempt) uint64 {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.services[attempt.Service] == nil || len(b.attempts) >= attemptsMost {
+func (r *Recorder) Began(now time.Time, attempt Attempt) uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.services[attempt.Service] == nil || len(r.attempts) >= attemptsMost {
 		return 0
 	}
-	b.last++
-	b.attempts[b.last] = &begun{Attempt: attempt, at: now}
-	return b.last
+	r.last++
+	r.attempts[r.last] = &begun{Attempt: attempt, at: now}
+	return r.last
 }
 
-// First books the first event of an attempt. Without it the first event is that of Answered.
-func (b *Book) First(now time.Time, attempt uint64) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	a := b.attempts[attempt]
+// First counts the first event of an attempt. Without it the first event is that of Answered.
+func (r *Recorder) First(now time.Time, attempt uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	a := r.attempts[attempt]
 	if a == nil || a.first {
 		return
 	}
@@ -85,7 +85,7 @@
 	if !ok {
 		return
 	}
-	b.services[a.Service].evidence.change(a.Route, a.Server, a.Candidate, func(t *Tally) {
+	r.services[a.Service].evidence.change(a.Route, a.Server, a.Candidate, func(t *Tally) {
 		t.First = bump(t.First, ratio)
 	})
 }
@@ -99,24 +99,24 @@
 }
 
 // Dropped removes an attempt that ended without counting, such as one that its caller left.
-func (b *Book) Dropped(attempt uint64) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	delete(b.attempts, attempt)
+func (r *Recorder) Dropped(attempt uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.attempts, attempt)
 }
 
 // Answered counts an attempt that ended. Services without a roll-out are not counted, nor are
 // attempts that began under an earlier order: their cohort was of another candidate.
-func (b *Book) Answered(answer Answer) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	p := b.services[answer.Service]
+func (r *Recorder) Answered(answer Answer) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := r.services[answer.Service]
 	if answer.Attempt != 0 {
-		a := b.attempts[answer.Attempt]
+		a := r.attempts[answer.Attempt]
 		if a == nil {
 			return
 		}
-		delete(b.attempts, answer.Attempt)
+		delete(r.attempts, answer.Attempt)
 		if a.first {
 			answer.FirstRatio = 0
 		}
@@ -147,15 +147,15 @@
 }
 
 // Evidence returns the counts of a service since Follow, with the attempts that wait at now.
-func (b *Book) Evidence(now time.Time, service string) Evidence {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	p := b.services[service]
+func (r *Recorder) Evidence(now time.Time, service string) Evidence {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := r.services[service]
 	if p == nil {
 		return Evidence{}
 	}
 	evidence := p.evidence.Clone()
-	for _, a := range b.attempts {
+	for _, a := range r.attempts {
 		if a.Service != service || a.first {
 			continue
 		}
--- a/serving/version/rollout/rollout.go
+++ b/serving/version/rollout/rollout.go
@@ -4,24 +4,24 @@
 // An operator's Order names the candidate version and a duration. The Decider, at the one
 // entry instance that holds the duties, keeps a Record for each service in the platform's
 // store and judges the candidate by the pooled Reports of all entry instances. The Gate, at
-// every entry instance, decides for each attempt which versions it may use, and the Book
+// every entry instance, decides for each attempt which versions it may use, and the Recorder
 // counts how attempts ended.
 //
 // Everything here is pure: callers pass the time, records, permits and outcomes, and get
-// picks, reports and decisions back. Gate, Book and Decider are each safe for several
+// picks, reports and decisions back. Gate, Recorder and Decider are each safe for several
 // goroutines and call nothing while they are locked.
 //
 // # Usage
 //
 // At every entry instance, with times of the boot clock:
 //
-//	gate, book := rollout.NewGate(limits), rollout.NewBook()
+//	gate, recorder := rollout.NewGate(limits), rollout.NewRecorder()
 //	gate.SetState(now, rollout.State{Orders: orders, Records: records, Entries: 64})
 //	order, phase := gate.Applied("model-bench")
 //	if !phase.InProgress() {
 //		order = 0
 //	}
-//	book.Follow("model-bench", order)
+//	recorder.Follow("model-bench", order)
 //	gate.Permit(now, permits)
 //
 // For each attempt; if no server of pick.Only can be chosen, it is picked again with repeat:
@@ -29,9 +29,9 @@
 //	pick := gate.Pick(now, "model-bench", "filing-review", false)
 //	candidate := gate.IsCandidate("model-bench", version)
 //	gate.Sent(now, "model-bench", "filing-review", candidate)
-//	number := book.Began(now, attempt)
-//	book.First(now, number)
-//	book.Answered(answer) // or book.Dropped(number)
+//	number := recorder.Began(now, attempt)
+//	recorder.First(now, number)
+//	recorder.Answered(answer) // or recorder.Dropped(number)
 //
 // At the holder of the duties, with the time of day:
 //
@@ -176,7 +176,7 @@
 
 // Answer is how an attempt ended.
 type Answer struct {
-	// Attempt is the number that Book.Began returned, 0 for an attempt that was not begun there.
+	// Attempt is the number that Recorder.Began returned, 0 for an attempt that was not begun there.
 	Attempt                uint64
 	Service, Route, Server string
 	Candidate              bool
--- a/serving/version/rollout/world_test.go
+++ b/serving/version/rollout/world_test.go
@@ -67,7 +67,7 @@
 // node is an entry instance.
 type node struct {
 	gate        *Gate
-	book        *Book
+	recorder    *Recorder
 	incarnation uint64
 	bornMS      int64
 	cut         bool // from views and the holder
@@ -91,7 +91,7 @@
 
 // restart replaces an instance's process.
 func (w *world) restart(n *node) {
-	n.gate, n.book = NewGate(limits), NewBook()
+	n.gate, n.recorder = NewGate(limits), NewRecorder()
 	n.incarnation++
 	n.bornMS = w.day().UnixMilli()
 }
@@ -159,7 +159,7 @@
 		state.BornMS = n.bornMS
 		n.gate.SetState(w.now(), state)
 		order, _ := n.gate.Applied(w.service)
-		n.book.Follow(w.service, order)
+		n.recorder.Follow(w.service, order)
 	}
 }
 
@@ -199,7 +199,7 @@
 		reports = append(reports, Report{
 			Service: w.service, Order: order, Instance: fmt.Sprint(i), Incarnation: n.incarnation,
 			Applied: phase, InFlight: w.inFlight, InFlightOld: w.inFlightOld,
-			Evidence: n.book.Evidence(w.now(), w.service),
+			Evidence: n.recorder.Evidence(w.now(), w.service),
 		})
 	}
 	return reports
@@ -323,7 +323,7 @@
 			w.fiftieth = w.elapsed
 		}
 	}
-	n.book.Answered(Answer{
+	n.recorder.Answered(Answer{
 		Service: w.service, Route: route, Server: key, Candidate: candidate, Failed: did.failed,
 		FirstRatio: ratio, WholeRatio: ratio,
 	})
