--- a/entry/relay/request.go
+++ b/entry/relay/request.go
@@ -88,6 +88,10 @@
 	backend      string
 	firstByte    time.Duration
 	events       int
+	// framing is how the last answer marks its end, and unfinishedBytes is the length of the event
+	// inside which a stream ended.
+	framing         upstream.Framing
+	unfinishedBytes int
 	// progress is when the last event of the stream arrived, or the request before the first.
 	progress time.Time
 	// maxGap is the longest time between two events of the stream.
@@ -226,6 +230,7 @@
 	if r.route.Kind != deployment.Streaming && !a.answer.NotRun {
 		a.observation.firstResponse()
 	}
+	r.framing = a.response.Framing
 	relay.invalidFields.warn(relay.Log, choice.Backend.ID, "a field that is not known", a.answer.UnknownFields)
 	relay.invalidFields.warn(relay.Log, choice.Backend.ID, "a malformed field", a.answer.MalformedFields)
 	r.recordResponse(a)
@@ -409,6 +414,12 @@
 	if r.firstByte > 0 {
 		fields["first_ms"] = r.firstByte.Milliseconds()
 	}
+	if r.framing != "" {
+		fields["framing"] = r.framing
+	}
+	if r.unfinishedBytes > 0 {
+		fields["unfinished_bytes"] = r.unfinishedBytes
+	}
 	if r.events > 0 {
 		fields["events"], fields["max_gap_ms"], fields["target_gap_ms"] = r.events, r.maxGap.Milliseconds(), r.route.TargetGap.Milliseconds()
 	}
--- a/entry/relay/stream.go
+++ b/entry/relay/stream.go
@@ -127,6 +127,9 @@
 			}
 			return errors.Wrap(err, "read event")
 		}
+		if one.Unfinished {
+			r.unfinishedBytes = len(one.Bytes)
+		}
 		now := time.Now()
 		if r.events > 0 {
 			r.maxGap = max(r.maxGap, now.Sub(r.progress))
--- a/serving/connection/event/event.go
+++ b/serving/connection/event/event.go
@@ -42,6 +42,8 @@
 	Bytes []byte
 	// ID is the event's id, empty if it has none.
 	ID string
+	// Unfinished is set if the stream ended before the event's final blank line.
+	Unfinished bool
 }
 
 // Reader reads one stream.
@@ -69,6 +71,7 @@
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
 		case errors.Is(err, io.EOF) && len(e.Bytes) > 0:
+			e.Unfinished = true
 			return e, nil
 		case err != nil:
 			return Event{}, err
--- a/serving/connection/upstream/conn.go
+++ b/serving/connection/upstream/conn.go
@@ -45,12 +45,34 @@
 	StillAccepted func() bool
 }
 
+// Framing is how the end of an answer's body is marked (RFC 9112, section 6.3).
+type Framing string
+
+// Framings of an answer. An answer that is framed by its connection has neither a length nor
+// chunks, so that the close of the connection alone does not tell whether it is complete.
+const (
+	ByLength     Framing = "length"
+	ByChunks     Framing = "chunks"
+	ByConnection Framing = "connection"
+)
+
+func framingOf(raw *http.Response) Framing {
+	switch {
+	case len(raw.TransferEncoding) > 0:
+		return ByChunks
+	case raw.ContentLength < 0:
+		return ByConnection
+	}
+	return ByLength
+}
+
 // Response is the head of an answer. Close must be called.
 type Response struct {
 	Status int
 	Header http.Header
 	// Length is the length of the body in bytes that the server announced, -1 if unknown.
-	Length int64
+	Length  int64
+	Framing Framing
 	// Body ends with io.EOF only if the answer is complete.
 	Body io.Reader
 
@@ -189,7 +211,10 @@
 	if raw.Body == http.NoBody {
 		length = 0 // the answer to a HEAD request announces the length of the GET body
 	}
-	return &Response{Status: raw.StatusCode, Header: raw.Header, Length: length, Body: ended, conn: c, raw: raw, bodyReader: ended}, true, nil
+	return &Response{
+		Status: raw.StatusCode, Header: raw.Header, Length: length, Framing: framingOf(raw), Body: ended,
+		conn: c, raw: raw, bodyReader: ended,
+	}, true, nil
 }
 
 func (c *conn) writeHead(request Request) error {
