Treat a stream that ends inside an event as broken off

Callers got streams that a crashed backend server had broken off as complete answers. The servers' responses had neither a length nor chunks, and the reader of events returned the part of an event before the end of the bytes as an event of its own, followed by the end of the stream. Such a part is an error now, so the stream is resumed where the route allows it, and otherwise the caller's connection is closed without a final chunk. A response of another media type has no events, so all of it is passed on as before.

The case of TestNext that took such a stream for complete was wrong: it has the same input and requires the failure now.

--- a/entry/relay/broken_stream_test.go
+++ b/entry/relay/broken_stream_test.go
@@ -68,6 +68,7 @@
 		whole     bool
 	}{
 		"complete":                                   {false, []string{byConnection + firstEvent + lastEvent}, firstEvent + lastEvent, true},
+		"no event stream":                            {false, []string{"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 2\r\n\r\n{}"}, "{}", true},
 		"inside an event":                            {false, []string{byConnection + firstEvent + "id: 2\nda"}, firstEvent, false},
 		"inside an event of a chunked answer":        {false, []string{byChunks + "f\r\n" + firstEvent + "\r\n5\r\nid: 2\r\n0\r\n\r\n"}, firstEvent, false},
 		"inside a chunk":                             {false, []string{byChunks + "1f\r\n" + firstEvent + "id: 2"}, firstEvent, false},
--- a/entry/relay/stream.go
+++ b/entry/relay/stream.go
@@ -4,11 +4,13 @@
 	"context"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"papayaport.dev/serving/connection/event"
+	"papayaport.dev/serving/connection/upstream"
 	"papayaport.dev/serving/process/problem"
 	"papayaport.dev/serving/request/route"
 )
@@ -115,6 +117,13 @@
 	for first := true; ; first = false {
 		stallTimer.Reset(r.eventTimeout(a, first))
 		one, err := reader.Next()
+		var unfinished *event.UnfinishedError
+		if errors.As(err, &unfinished) {
+			r.unfinishedBytes = len(unfinished.Part)
+			if !isEventStream(a.response) {
+				one, err = event.Event{Bytes: unfinished.Part}, nil
+			}
+		}
 		if errors.Is(err, io.EOF) {
 			if !out.headSent {
 				r.beginStream(a, out)
@@ -127,9 +136,6 @@
 			}
 			return errors.Wrap(err, "read event")
 		}
-		if one.Unfinished {
-			r.unfinishedBytes = len(one.Bytes)
-		}
 		now := time.Now()
 		if r.events > 0 {
 			r.maxGap = max(r.maxGap, now.Sub(r.progress))
@@ -148,6 +154,14 @@
 	}
 }
 
+// isEventStream reports whether a response consists of events. Servers may leave out the media
+// type of a stream.
+func isEventStream(response *upstream.Response) bool {
+	value := response.Header.Get("Content-Type")
+	mediaType, _, _ := strings.Cut(value, ";")
+	return value == "" || strings.EqualFold(strings.TrimSpace(mediaType), "text/event-stream")
+}
+
 // eventTimeout returns how long the next event may take before the stream is retried on another
 // backend server.
 func (r *requestState) eventTimeout(a *attempt, first bool) time.Duration {
--- a/serving/connection/event/event.go
+++ b/serving/connection/event/event.go
@@ -1,5 +1,5 @@
 // Package event splits streams of server-sent events into complete events without
-// interpreting their data. If a stream fails inside an event, that event is not returned.
+// interpreting their data. If a stream fails or ends inside an event, that event is not returned.
 //
 // # Usage
 //
@@ -13,6 +13,7 @@
 import (
 	"bufio"
 	"bytes"
+	"fmt"
 	"io"
 
 	"github.com/pkg/errors"
@@ -36,14 +37,26 @@
 	ErrNoMemory = errors.New("no memory left for a large event")
 )
 
+// UnfinishedError means that a stream ended inside an event. It wraps io.ErrUnexpectedEOF.
+type UnfinishedError struct {
+	// Part is what was received of the event.
+	Part []byte
+}
+
+// Error implements error.
+func (e *UnfinishedError) Error() string {
+	return fmt.Sprintf("the stream ended after %d bytes of an event", len(e.Part))
+}
+
+// Unwrap returns io.ErrUnexpectedEOF.
+func (e *UnfinishedError) Unwrap() error { return io.ErrUnexpectedEOF }
+
 // Event is one complete event.
 type Event struct {
 	// Bytes is the event as received, including its final blank line.
 	Bytes []byte
 	// ID is the event's id, empty if it has none.
 	ID string
-	// Unfinished is set if the stream ended before the event's final blank line.
-	Unfinished bool
 }
 
 // Reader reads one stream.
@@ -57,9 +70,9 @@
 	return &Reader{in: bufio.NewReaderSize(in, readerBytes), budget: budget}
 }
 
-// Next returns the next event, and io.EOF at the end of a complete stream. Bytes after the
-// last blank line are returned as an event of their own before io.EOF. Any other error means
-// that the stream failed.
+// Next returns the next event, and io.EOF at the end of a complete stream. Any other error means
+// that the stream failed: it is an *UnfinishedError if the stream ended inside an event, whether
+// or not its framing marked the end.
 func (r *Reader) Next() (Event, error) {
 	var e Event
 	for {
@@ -71,8 +84,7 @@
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
 		case errors.Is(err, io.EOF) && len(e.Bytes) > 0:
-			e.Unfinished = true
-			return e, nil
+			return Event{}, &UnfinishedError{Part: e.Bytes}
 		case err != nil:
 			return Event{}, err
 		case isBlank(line):
--- a/serving/connection/event/event_test.go
+++ b/serving/connection/event/event_test.go
@@ -35,8 +35,8 @@
 			[]string{"1", "2"},
 			io.EOF,
 		},
-		"complete without a last blank line": {
-			strings.NewReader("data: a\n\ndata: b"), []string{"data: a\n\n", "data: b"}, []string{"", ""}, io.EOF,
+		"without a last blank line": {
+			strings.NewReader("data: a\n\ndata: b"), []string{"data: a\n\n"}, []string{""}, io.ErrUnexpectedEOF,
 		},
 		"interrupted inside an event": {
 			interruptedReader{strings.NewReader("id: 1\ndata: a\n\nid: 2\nda")}, []string{"id: 1\ndata: a\n\n"}, []string{"1"}, io.ErrUnexpectedEOF,
