Treat a stream without an event and without framing as broken off

The end of a connection marks the end of a stream only behind an event.

A cut inside the head was an error before, too.

--- a/entry/relay/stream.go
+++ b/entry/relay/stream.go
@@ -124,6 +124,9 @@
 				one, err = event.Event{Bytes: unfinished.Part}, nil
 			}
 		}
+		if errors.Is(err, io.EOF) && first && a.response.Framing == upstream.ByConnection && isEventStream(a.response) {
+			return errors.Wrap(io.ErrUnexpectedEOF, "the connection ended before the first event")
+		}
 		if errors.Is(err, io.EOF) {
 			if !out.headSent {
 				r.beginStream(a, out)
