Resume a stream only with events

A server that was to resume a stream and answered 200 with another media type, such as a JSON error, had its body passed on behind the events that the caller had. Such a response is invalid now; the stream goes on at another server or is broken off. A status other than 200 was treated so before, as TestBrokenStreamsAreNotComplete shows.

TestOtherMediaTypeInStream failed before: the caller got the error's text and a complete stream.

--- a/entry/relay/broken_stream_test.go
+++ b/entry/relay/broken_stream_test.go
@@ -113,3 +113,12 @@
 		require.Equal(t, firstEvent, body)
 	})
 }
+
+// TestOtherMediaTypeInStream guards against the text of an error in the middle of a stream: the
+// server that was to resume it answered with a success of another media type.
+func TestOtherMediaTypeInStream(t *testing.T) {
+	const failure = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 13\r\n\r\n{\"error\":1}\n\n"
+	_, body, err := callStream(t, true, []string{byConnection + firstEvent + "id: 2\nda", failure})
+	require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+	require.Equal(t, firstEvent, body)
+}
--- a/entry/relay/stream.go
+++ b/entry/relay/stream.go
@@ -64,6 +64,9 @@
 	if err != nil {
 		return Answer{}, err
 	}
+	if out.headSent && !isEventStream(a.response) {
+		a.answer.Valid = false
+	}
 	if err := r.checkRun(a); err != nil {
 		return a.answer, err
 	}
