Do not resume a stream after an event without an id

Found while looking for other ways to a false stream: a resumable stream whose last event had no id was sent to another server without the position, so that its caller got the first events twice. It is broken off now; comments need no id.

TestStreamsWithoutIDsAreNotResumed failed before in two cases.

--- a/entry/relay/broken_stream_test.go
+++ b/entry/relay/broken_stream_test.go
@@ -122,3 +122,29 @@
 	require.ErrorIs(t, err, io.ErrUnexpectedEOF)
 	require.Equal(t, firstEvent, body)
 }
+
+// TestStreamsWithoutIDsAreNotResumed guards against the pieces of two runs in one stream: without
+// the id of the last event that the caller has, another server begins at the first event.
+func TestStreamsWithoutIDsAreNotResumed(t *testing.T) {
+	for name, test := range map[string]struct {
+		sent  string
+		body  string
+		whole bool
+	}{
+		"no id":                     {"data: a\n\n", "data: a\n\n", false},
+		"no id in the last event":   {firstEvent + "data: b\n\n", firstEvent + "data: b\n\n", false},
+		"an id":                     {firstEvent, firstEvent + lastEvent, true},
+		"a comment behind the id":   {firstEvent + ": keep-alive\n\n", firstEvent + ": keep-alive\n\n" + lastEvent, true},
+		"a comment before any data": {": keep-alive\n\n", ": keep-alive\n\n" + lastEvent, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, body, err := callStream(t, true, []string{byConnection + test.sent + "id: 2\nda", byConnection + lastEvent})
+			require.Equal(t, test.body, body)
+			if test.whole {
+				require.NoError(t, err)
+				return
+			}
+			require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+		})
+	}
+}
--- a/entry/relay/stream.go
+++ b/entry/relay/stream.go
@@ -30,6 +30,9 @@
 	headSent bool
 	// lastEventID is the id of the last complete event that was sent to the caller.
 	lastEventID string
+	// notResumable is set when the last event that was sent has no id, so that another server can't
+	// go on after it.
+	notResumable bool
 }
 
 // serveStream forwards a stream event by event. Once a part of it was sent to the caller, a
@@ -43,7 +46,7 @@
 		if err == nil {
 			return nil
 		}
-		if r.claimRetry(ctx, err) {
+		if !out.notResumable && r.claimRetry(ctx, err) {
 			continue
 		}
 		err = r.finalError(ctx, err, answer.RetryAfter)
@@ -198,8 +201,11 @@
 	if err := out.flush(); err != nil {
 		return errors.Wrap(errCallerGone, err.Error())
 	}
-	if one.ID != "" {
-		out.lastEventID = one.ID
+	switch {
+	case one.ID != "":
+		out.lastEventID, out.notResumable = one.ID, false
+	case !one.IsComment():
+		out.notResumable = true
 	}
 	r.events++
 	return nil
--- a/serving/connection/event/event.go
+++ b/serving/connection/event/event.go
@@ -59,6 +59,16 @@
 	ID string
 }
 
+// IsComment reports whether all lines of the event are comments, such as keep-alives.
+func (e Event) IsComment() bool {
+	for line := range bytes.Lines(e.Bytes) {
+		if !isBlank(line) && line[0] != ':' {
+			return false
+		}
+	}
+	return true
+}
+
 // Reader reads one stream.
 type Reader struct {
 	in     *bufio.Reader
