Do not send a request id twice on one connection

Of the users' reports: a server writes an earlier refusal once more on a kept connection, and a request that runs is reported as not run. Answers are matched by the id that they echo, so a second copy was taken only where the same id came again on the same connection: after a refusal when no other server was left, or when a caller used an id again. A connection is not used again for an id that it has carried, and is closed after 256 requests, which bounds the memory for ids.

TestRepeatedRefusalsAreNotTaken/the_same_request_again failed before: 503 instead of 200. TestConnectionReuse sent one id three times on one connection, which is refused now; it sends different ids and requires the same reuse.

--- a/serving/connection/upstream/conn.go
+++ b/serving/connection/upstream/conn.go
@@ -5,12 +5,14 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 )
 
@@ -27,6 +29,9 @@
 	// body is written concurrently with reading the answer, since a server may answer before it
 	// has read the whole body.
 	inlineBodyBytes = 2 << 10
+	// maxRequests is the number of requests after which a connection is closed. It bounds the
+	// memory for their ids to 2 kB.
+	maxRequests = 256
 	// bufferBytes is the size of a connection's read buffer in bytes.
 	bufferBytes = 4 << 10
 )
@@ -91,7 +96,7 @@
 		if whole {
 			r.conn.recordUse(time.Now(), r.raw.Header)
 		}
-		r.finish(whole && r.conn.keepAlive > 0)
+		r.finish(whole && r.conn.keepAlive > 0 && len(r.conn.sentIDs) < maxRequests)
 	})
 }
 
@@ -120,6 +125,8 @@
 	// keepAlive is how long the connection may be idle, according to the last answer.
 	keepAlive time.Duration
 	lastUsed  time.Time
+	// sentIDs are the hashes of the ids of the requests that were sent on this connection.
+	sentIDs []uint64
 	// written is closed once the last request was written completely.
 	written chan struct{}
 	closing sync.Once
@@ -150,6 +157,10 @@
 	}
 }
 
+// hasSent reports whether a request with this id was sent on the connection before. A late second
+// answer to that request could not be told from the answer to this one.
+func (c *conn) hasSent(id string) bool { return slices.Contains(c.sentIDs, xxhash.Sum64String(id)) }
+
 func (c *conn) expired(now time.Time) bool { return now.Sub(c.lastUsed) >= c.keepAlive }
 
 // isUsable reports whether an idle connection can be reused: it is not expired, not closed by
@@ -190,6 +201,7 @@
 // the request may have been sent.
 func (c *conn) exchange(request Request, echo string) (response *Response, sent bool, err error) {
 	c.written = make(chan struct{})
+	c.sentIDs = append(c.sentIDs, xxhash.Sum64String(request.ID))
 	if err := c.writeHead(request); err != nil {
 		return nil, true, errors.Wrap(err, "write request")
 	}
--- a/serving/connection/upstream/upstream.go
+++ b/serving/connection/upstream/upstream.go
@@ -29,6 +29,7 @@
 	"context"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -122,7 +123,7 @@
 // Send writes one request and returns the head of its answer. The request is sent at most
 // once. The error is an *Error.
 func (p *Pool) Send(ctx context.Context, server Server, request Request) (*Response, error) {
-	c, err := p.acquire(ctx, server)
+	c, err := p.acquire(ctx, server, request.ID)
 	if err != nil {
 		return nil, &Error{Server: server.ID, Err: err}
 	}
@@ -150,10 +151,11 @@
 	return response, nil
 }
 
-// acquire returns the most recently used idle connection that is usable, or a new one.
-func (p *Pool) acquire(ctx context.Context, server Server) (*conn, error) {
+// acquire returns the most recently used idle connection that is usable for a request, or a new
+// one.
+func (p *Pool) acquire(ctx context.Context, server Server, id string) (*conn, error) {
 	for {
-		c, err := p.reserve(server)
+		c, err := p.reserve(server, id)
 		if err != nil {
 			return nil, err
 		}
@@ -167,9 +169,9 @@
 	}
 }
 
-// reserve removes and returns an idle connection. Without one it reserves a new connection
-// and returns nil.
-func (p *Pool) reserve(server Server) (*conn, error) {
+// reserve removes and returns an idle connection on which no request with this id was sent. Without
+// one it reserves a new connection and returns nil.
+func (p *Pool) reserve(server Server, id string) (*conn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	conns := p.servers[server.ID]
@@ -180,13 +182,19 @@
 		conns = &connections{server: server}
 		p.servers[server.ID] = conns
 	}
-	if last := len(conns.idle) - 1; last >= 0 {
-		c := conns.idle[last]
-		conns.idle = conns.idle[:last]
-		return c, nil
+	for i, c := range slices.Backward(conns.idle) {
+		if !c.hasSent(id) {
+			conns.idle = slices.Delete(conns.idle, i, i+1)
+			return c, nil
+		}
 	}
 	if server.MaxConnections > 0 && conns.open >= server.MaxConnections {
-		return nil, ErrNoFreeConnection
+		if len(conns.idle) == 0 {
+			return nil, ErrNoFreeConnection
+		}
+		conns.idle[0].close()
+		conns.idle = slices.Delete(conns.idle, 0, 1)
+		conns.open--
 	}
 	conns.open++
 	return nil, nil
