Log which servers were lost under a request, and its prompt's parts

The logs can't tell which parts of prompts were in flight on a server when its connections broke. The line of a request now has lost_at and prompt_parts.

--- a/entry/relay/plain.go
+++ b/entry/relay/plain.go
@@ -61,7 +61,11 @@
 	}
 	body, err := r.memory.ReadAll(ctx, a.response.Body, a.response.Length, maxResponseBytes)
 	if err != nil {
-		r.settle(a, readErrorResult(err))
+		result := readErrorResult(err)
+		if result == route.Failed && ctx.Err() == nil {
+			r.recordLoss(a)
+		}
+		r.settle(a, result)
 		r.relay.Metrics.responseOverLimit(r.service, err)
 		r.excluded = append(r.excluded, a.choice.Backend.ID)
 		return answer, nil, errors.Wrap(err, "read answer")
--- a/entry/relay/prompt.go
+++ b/entry/relay/prompt.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -36,6 +37,24 @@
 	return chain
 }
 
+// sharedParts returns the ids of the parts that other requests may share: all but the last.
+func (p *Prompt) sharedParts() []uint64 {
+	var ids []uint64
+	for i := range max(len(p.Parts)-1, 0) {
+		ids = append(ids, p.Parts[i].ID)
+	}
+	return ids
+}
+
+// sharedPartNames returns the same ids in hexadecimal, as callers send them.
+func (p *Prompt) sharedPartNames() []string {
+	var names []string
+	for _, id := range p.sharedParts() {
+		names = append(names, strconv.FormatUint(id, 16))
+	}
+	return names
+}
+
 // reportLoad passes the load that a backend server reported with a response to the routing table.
 func (r *Relay) reportLoad(now time.Time, b route.Backend, load Load) {
 	r.Routes.Report(now, b.ID, engine.Load{
--- a/entry/relay/request.go
+++ b/entry/relay/request.go
@@ -92,6 +92,8 @@
 	// inside which a stream ended.
 	framing         upstream.Framing
 	unfinishedBytes int
+	// lostAt lists the servers that closed their connection before the answer was complete.
+	lostAt []string
 	// progress is when the last event of the stream arrived, or the request before the first.
 	progress time.Time
 	// maxGap is the longest time between two events of the stream.
@@ -255,6 +257,9 @@
 		result = route.Wrong
 	}
 	r.relay.Metrics.responseOverLimit(r.service, err)
+	if sent && result == route.Failed {
+		r.recordLoss(a)
+	}
 	if !sent {
 		a.observation.discard()
 	}
@@ -327,6 +332,12 @@
 	a.cancel(nil)
 }
 
+// recordLoss records that the server closed the connection of an attempt before the answer was
+// complete.
+func (r *requestState) recordLoss(a *attempt) {
+	r.lostAt = append(r.lostAt, a.choice.Backend.ID)
+}
+
 // claimRetry reports whether a retry may follow an attempt that failed with cause, and takes it
 // from the retry budget. Attempts that were never sent cost nothing.
 func (r *requestState) claimRetry(ctx context.Context, cause error) bool {
@@ -417,6 +428,12 @@
 	if r.framing != "" {
 		fields["framing"] = r.framing
 	}
+	if len(r.lostAt) > 0 {
+		fields["lost_at"] = r.lostAt
+		if r.call.Prompt != nil {
+			fields["prompt_parts"] = r.call.Prompt.sharedPartNames()
+		}
+	}
 	if r.unfinishedBytes > 0 {
 		fields["unfinished_bytes"] = r.unfinishedBytes
 	}
--- a/entry/relay/stream.go
+++ b/entry/relay/stream.go
@@ -85,6 +85,9 @@
 		result = route.Silent
 	case err != nil:
 		result = readErrorResult(err)
+		if result == route.Failed {
+			r.recordLoss(a)
+		}
 		r.relay.Metrics.responseOverLimit(r.service, err)
 	}
 	if err != nil {
