--- a/standin/fakeplatform/server.go
+++ b/standin/fakeplatform/server.go
@@ -82,6 +82,7 @@
 	// running then or began later.
 	cut         bool
 	interrupted int
+	crash       crash
 	// peak is the largest number of requests in flight.
 	peak int
 }
@@ -116,10 +117,11 @@
 	if b.draining {
 		state = "draining"
 	}
+	incarnation := b.incarnation
 	b.mu.Unlock()
 	entry, err := json.Marshal(map[string]any{
 		"service": b.Service, "address": b.Address, "zone": b.Zone, "version": b.Version, "slots": b.Slots,
-		"state": state, "cold_remaining_ms": 0, "sequence": 1, "born": b.incarnation,
+		"state": state, "cold_remaining_ms": 0, "sequence": 1, "born": incarnation,
 	})
 	if err != nil {
 		panic(errors.Wrap(err, "encode entry")) // unreachable: a map of plain values always encodes
@@ -219,6 +221,7 @@
 // ServeHTTP handles one request.
 func (b *Backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("X-Papayaport-Attempt-Id")
+	crashed := b.running()
 	header := w.Header()
 	header.Set("X-Papayaport-Attempt-Id", id)
 	header.Set("Keep-Alive", "timeout=5")
@@ -276,7 +279,7 @@
 	}
 	work := time.Duration(float64(b.ServiceTime) * slower)
 	if b.Events > 0 && wrong != Fail {
-		b.serveStream(w, r, wrong, work)
+		b.serveStream(w, r, crashed, wrong, work)
 	} else {
 		b.servePlain(w, r, id, wrong, work)
 	}
@@ -305,7 +308,7 @@
 // Event returns the encoded event with a number in a stream.
 func Event(number int) string { return fmt.Sprintf("id: %d\ndata: piece %d\n\n", number, number) }
 
-func (b *Backend) serveStream(w http.ResponseWriter, r *http.Request, wrong Misbehaviour, work time.Duration) {
+func (b *Backend) serveStream(w http.ResponseWriter, r *http.Request, crashed <-chan struct{}, wrong Misbehaviour, work time.Duration) {
 	first := 1
 	if last, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
 		first = last + 1
@@ -317,6 +320,12 @@
 		case <-time.After(work):
 		case <-r.Context().Done():
 			return
+		case <-crashed:
+			panic(http.ErrAbortHandler)
+		}
+		if number == first && b.isDeadly(r) {
+			b.Crash()
+			panic(http.ErrAbortHandler)
 		}
 		event := Event(number)
 		if number == first+(b.Events-first)/2 {
