Quarantine the parts of prompts that crash backend servers

Nothing related the loss of a server to the prompts that were in flight on it.

The new package quarantine counts, for each part that requests may share, the separate crashes under different requests since the last answer. Instances write their reports into their records in the store, so they outlive all processes, and pass on what they know with the view of the store. Sound requests with the same key, route, first and other parts clear those by being answered. A quarantined request is refused before its limit is charged and before each attempt, with a true not_run.

The fixture of TestUnsentRequests gets a call, as every request has one.

--- a/entry/relay/observation_test.go
+++ b/entry/relay/observation_test.go
@@ -115,7 +115,7 @@
 		t.Run(name, func(t *testing.T) {
 			observed := &fakeRollout{}
 			relay, _ := newRelay(t, observed, nil)
-			r := &requestState{relay: relay, route: &deployment.Route{}, service: "app"}
+			r := &requestState{relay: relay, call: &Call{}, route: &deployment.Route{}, service: "app"}
 			a := &attempt{cancel: func(error) {}, observation: observation{observer: observed}}
 			a.observation.started(time.Now())
 			r.recordFailure(a, test.err)
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -35,6 +35,7 @@
 	"papayaport.dev/serving/process/problem"
 	"papayaport.dev/serving/request/backpressure"
 	"papayaport.dev/serving/request/budget"
+	"papayaport.dev/serving/request/quarantine"
 	"papayaport.dev/serving/request/route"
 	"papayaport.dev/serving/version/deployment"
 	"papayaport.dev/serving/version/rollout"
@@ -148,6 +149,17 @@
 	ObserveBackpressure(sentAt time.Time, server route.Backend, asked backpressure.Signal)
 }
 
+// PromptGuard keeps requests away from backend servers whose prompts have a part that crashes them.
+// Parts are the ids of the parts that other requests may share.
+type PromptGuard interface {
+	// CheckPrompt returns how much longer requests with the parts are refused, 0 if they are not.
+	CheckPrompt(parts []uint64) time.Duration
+	// PromptLost reports a request whose server closed the connection.
+	PromptLost(loss quarantine.Loss)
+	// PromptServed reports a complete answer, and when it began.
+	PromptServed(parts []uint64, begunAt time.Time)
+}
+
 // AdmissionObserver measures the admitted work.
 type AdmissionObserver interface {
 	Admitted(at time.Time, service string, tokens int)
@@ -186,10 +198,12 @@
 
 // Dependencies holds the components that a relay uses.
 type Dependencies struct {
-	Versions             Versions
-	Routes               *route.Table
-	Limiter              Limiter
-	AdmissionObserver    AdmissionObserver
+	Versions          Versions
+	Routes            *route.Table
+	Limiter           Limiter
+	AdmissionObserver AdmissionObserver
+	// PromptGuard may be nil: no prompt is refused then.
+	PromptGuard          PromptGuard
 	BackpressureObserver BackpressureObserver
 	Budget               *budget.Table
 	Pool                 *upstream.Pool
@@ -243,8 +257,8 @@
 	connectionShare = 0.9
 )
 
-// New returns a relay that serves callers at once. It takes no-ops for a nil VersionPicker and
-// a nil AttemptObserver.
+// New returns a relay that serves callers at once. It takes no-ops for a nil VersionPicker, a nil
+// AttemptObserver and a nil PromptGuard.
 func New(dependencies Dependencies) *Relay {
 	if dependencies.VersionPicker == nil {
 		dependencies.VersionPicker = anyVersion{}
@@ -252,6 +266,9 @@
 	if dependencies.AttemptObserver == nil {
 		dependencies.AttemptObserver = noObserver{}
 	}
+	if dependencies.PromptGuard == nil {
+		dependencies.PromptGuard = noGuard{}
+	}
 	return &Relay{Dependencies: dependencies, startWaitEnds: time.Now().Add(maxStartWait)}
 }
 
@@ -285,6 +302,10 @@
 		state.reject(w, problem.From(err))
 		return
 	}
+	if err := state.checkPrompt(); err != nil {
+		state.reject(w, problem.From(err))
+		return
+	}
 	if err := state.checkQuota(request.Context()); err != nil {
 		state.reject(w, problem.From(err))
 		return
--- a/entry/relay/request.go
+++ b/entry/relay/request.go
@@ -185,12 +185,18 @@
 	// is no failure of its version.
 	declined    bool
 	observation observation
+	// begunAt is when the answer began: the first event of a stream, or the head of another answer.
+	begunAt time.Time
 }
 
 // send makes one attempt and returns once the head of the response has arrived. The caller
 // must call settle on the attempt.
 func (r *requestState) send(ctx context.Context, lastEvent string) (*attempt, error) {
 	relay := r.relay
+	// What is known of the prompt may have changed since the last attempt.
+	if err := r.checkPrompt(); err != nil {
+		return nil, err
+	}
 	request := r.routeRequest()
 	a, err := r.chooseBackend(&request)
 	if err != nil {
@@ -230,6 +236,7 @@
 		relay.BackpressureObserver.ObserveBackpressure(sentAt, choice.Backend, a.answer.Backpressure)
 	}
 	if r.route.Kind != deployment.Streaming && !a.answer.NotRun {
+		a.begunAt = time.Now()
 		a.observation.firstResponse()
 	}
 	r.framing = a.response.Framing
@@ -321,6 +328,7 @@
 func (r *requestState) settle(a *attempt, result route.Result) {
 	now := time.Now()
 	r.relay.Routes.Done(now, a.id, result, 0)
+	r.recordServed(a, result)
 	if a.declined {
 		result = route.OK
 	}
@@ -332,12 +340,6 @@
 	a.cancel(nil)
 }
 
-// recordLoss records that the server closed the connection of an attempt before the answer was
-// complete.
-func (r *requestState) recordLoss(a *attempt) {
-	r.lostAt = append(r.lostAt, a.choice.Backend.ID)
-}
-
 // claimRetry reports whether a retry may follow an attempt that failed with cause, and takes it
 // from the retry budget. Attempts that were never sent cost nothing.
 func (r *requestState) claimRetry(ctx context.Context, cause error) bool {
--- a/entry/relay/stream.go
+++ b/entry/relay/stream.go
@@ -154,6 +154,7 @@
 		}
 		r.progress = now
 		if first {
+			a.begunAt = now
 			r.countRunning()
 			a.observation.firstResponse()
 			r.relay.Routes.FirstToken(now, a.id, 0)
--- a/entry/site/record.go
+++ b/entry/site/record.go
@@ -15,6 +15,7 @@
 	"papayaport.dev/serving/process/platform"
 	"papayaport.dev/serving/process/platform/store"
 	"papayaport.dev/serving/process/usage"
+	"papayaport.dev/serving/request/quarantine"
 	"papayaport.dev/serving/request/quota"
 )
 
@@ -48,6 +49,8 @@
 	// time of the last write in Unix milliseconds.
 	PoolDeficits quota.Deficits `json:"pool_deficits,omitempty"`
 	StoredAtMS   int64          `json:"stored_at,omitempty"`
+	// Quarantine holds this instance's reports about prompts that crash backend servers.
+	Quarantine *quarantine.Snapshot `json:"quarantine,omitempty"`
 
 	// instance is the id of the instance, from the key.
 	instance string
@@ -80,6 +83,9 @@
 		if s.record.deficits.Observe(s.quota.TakeDeficits()) {
 			s.record.dirty = true
 		}
+		if s.quarantine.TakeChanged() {
+			s.record.dirty = true
+		}
 		if s.record.loaded && (s.record.dirty || clock.Boot().Sub(s.record.writtenAt) >= departure.RefreshPeriod) {
 			s.writeRecord(ctx)
 		}
@@ -107,6 +113,9 @@
 	s.record.previous = old.Incarnation
 	s.record.loaded, s.record.dirty = true, true
 	s.record.deficits.Inherit(clock.Boot(), old.PoolDeficits)
+	if old.Quarantine != nil {
+		s.logQuarantine("own record", s.quarantine.Inherit(time.Now(), *old.Quarantine))
+	}
 	for number, counts := range old.Usage {
 		s.addWindow(usage.Window{Number: number, Counts: counts})
 	}
@@ -147,7 +156,7 @@
 		Incarnation: s.incarnation(), Region: s.settings.Region, FailureDomain: s.settings.FailureDomain,
 		PeerAddress: s.settings.AdvertisedPeers, CallerAddress: s.settings.Callers, MemoryMB: s.settings.MemoryMB, Usage: s.record.usage,
 		InFlight: s.inFlight(), TokensPerSecond: s.intake.PerSecond(time.Now()), PrefillRates: s.prefillRates(),
-		PoolDeficits: deficits, StoredAtMS: s.calendar.Now().UnixMilli(),
+		PoolDeficits: deficits, StoredAtMS: s.calendar.Now().UnixMilli(), Quarantine: s.ownQuarantine(),
 	})
 	if err != nil {
 		s.logger("record").WithError(err).Error("record: not encoded")
@@ -183,6 +192,9 @@
 		}
 		r.instance, r.revision = entry.Key[len(entriesPrefix):], entry.Revision
 		records = append(records, r)
+		if r.instance != s.settings.Instance {
+			s.mergeQuarantine(r.instance, r.Quarantine)
+		}
 		instances = append(instances, platform.Instance{
 			ID: r.instance, Incarnation: r.Incarnation, Role: platform.EntryRole, Region: r.Region,
 			FailureDomain: r.FailureDomain, PeerAddress: r.PeerAddress, Address: r.CallerAddress, MemoryMB: r.MemoryMB,
--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -44,6 +44,7 @@
 	"papayaport.dev/serving/process/usage"
 	"papayaport.dev/serving/request/admission"
 	"papayaport.dev/serving/request/budget"
+	"papayaport.dev/serving/request/quarantine"
 	"papayaport.dev/serving/request/quota"
 	"papayaport.dev/serving/request/route"
 	"papayaport.dev/serving/version/deployment"
@@ -152,7 +153,9 @@
 	admission *admission.Table
 	quota     *quota.Table
 	budget    *budget.Table
-	pool      *upstream.Pool
+	// quarantine holds the parts of prompts that are suspected of crashing backend servers.
+	quarantine *quarantine.Table
+	pool       *upstream.Pool
 	// usage counts requests by calendar-aligned windows.
 	usage    *usage.Counter
 	calendar *clock.Calendar
@@ -220,6 +223,7 @@
 		return nil, errors.Wrap(err, "policy")
 	}
 	s.admission, s.quota = admission.New(), quota.New()
+	s.quarantine = quarantine.New()
 	s.poolOrders.Store(&map[string][]membership.Member{})
 	s.budget = budget.New(budget.Limits{
 		Ratio: set.Retry.Ratio, Window: seconds(set.Retry.WindowS), Allowance: set.Retry.Allowance,
@@ -239,7 +243,7 @@
 	s.leases = lease.New(expiringLeases{p.Store}, set.Instance+"/"+formatIncarnation(s.incarnation()), s.wantedLeases, s.leaseRank,
 		s.leaseTTL(), clock.Boot, seeded())
 	parts := relay.Dependencies{
-		Versions: &s.keeper, Routes: s.routes, Limiter: s, AdmissionObserver: s.intake, BackpressureObserver: s, Budget: s.budget, Pool: s.pool, Usage: s,
+		Versions: &s.keeper, Routes: s.routes, Limiter: s, AdmissionObserver: s.intake, BackpressureObserver: s, PromptGuard: s, Budget: s.budget, Pool: s.pool, Usage: s,
 		Room:  memorybudget.New(int64(set.MemoryMB) << 20 / responseMemoryDivisor),
 		Codec: p.Codec, Metrics: relay.NewMetrics(s.metrics), Started: s.fullyStarted, Entries: s.entries, Draw: rand.Float64, Log: s.logger("relay").WithField("failure_domain", set.FailureDomain),
 		LoadShedder: s.newLoadShedder(), LoadKnown: s.isLoadKnown,
--- a/entry/site/views.go
+++ b/entry/site/views.go
@@ -16,6 +16,7 @@
 	"papayaport.dev/serving/process/directory"
 	"papayaport.dev/serving/process/membership"
 	"papayaport.dev/serving/process/platform"
+	"papayaport.dev/serving/request/quarantine"
 )
 
 const (
@@ -70,6 +71,8 @@
 	Own bool `cbor:"3,keyasint,omitempty"`
 	// Rollouts is the digest of the querying instance's roll-outs.
 	Rollouts uint64 `cbor:"4,keyasint,omitempty"`
+	// Quarantine is the digest of what the querying instance knows about prompts.
+	Quarantine uint64 `cbor:"5,keyasint,omitempty"`
 }
 
 // viewReply holds the parts that differ from the querying instance's view.
@@ -84,6 +87,8 @@
 	Leases []string `cbor:"6,keyasint"`
 	// Rollouts is nil when the querying instance has the same, or the peer does not send them.
 	Rollouts *rolloutView `cbor:"7,keyasint,omitempty"`
+	// Quarantine is nil when the querying instance has the same.
+	Quarantine *quarantine.Snapshot `cbor:"8,keyasint,omitempty"`
 }
 
 // digest sets the digests.
@@ -108,6 +113,7 @@
 	}
 	answer := &viewReply{
 		AgeMS: clock.Boot().Sub(held.at).Milliseconds(), SameServers: held.serversDigest == request.Servers, Leases: held.leases,
+		Quarantine: s.quarantineFor(request.Quarantine),
 	}
 	if held.configurationDigest != request.Configuration {
 		answer.Configuration = held.configuration
@@ -205,7 +211,7 @@
 	}
 	request := viewQuery{
 		Configuration: held.configurationDigest, Servers: held.serversDigest, Own: clock.Boot().Sub(v.ownReceivedAt) >= recordTransferPeriod,
-		Rollouts: held.rolloutsDigest,
+		Rollouts: held.rolloutsDigest, Quarantine: s.quarantine.Digest(),
 	}
 	for _, reader := range readers {
 		if s.unreachable.isRecent(reader.PeerAddress) {
@@ -223,6 +229,7 @@
 		if response.View == nil {
 			continue
 		}
+		s.mergeQuarantine(reader.Instance, response.View.Quarantine)
 		age := time.Duration(response.View.AgeMS) * time.Millisecond
 		if age > oldest {
 			s.logger("directory").WithFields(logrus.Fields{"peer": reader.Instance, "age_ms": response.View.AgeMS}).
--- a/serving/process/problem/problem.go
+++ b/serving/process/problem/problem.go
@@ -62,6 +62,7 @@
 	BackendFailed      Kind = "backend_failed"
 	BackendNonsense    Kind = "backend_nonsense"
 	AnswerLost         Kind = "answer_lost"
+	PromptQuarantined  Kind = "prompt_quarantined"
 	StoreUnavailable   Kind = "store_unavailable"
 	NotReady           Kind = "not_ready"
 	Leaving            Kind = "leaving"
@@ -108,6 +109,7 @@
 	BackendFailed:      {http.StatusBadGateway, Failed, true, time.Second, "The backend server failed"},
 	BackendNonsense:    {http.StatusBadGateway, Failed, true, time.Second, "The backend server's answer is invalid"},
 	AnswerLost:         {http.StatusBadGateway, Unknown, false, 0, "The answer was lost after the request was sent"},
+	PromptQuarantined:  {http.StatusServiceUnavailable, NotRun, true, time.Minute, "A part of the prompt crashes backend servers"},
 	StoreUnavailable:   {http.StatusServiceUnavailable, NotRun, true, 2 * time.Second, "The key-value service can't be reached"},
 	NotReady:           {http.StatusServiceUnavailable, NotRun, true, time.Second, "The instance has no configuration yet"},
 	Leaving:            {http.StatusServiceUnavailable, NotRun, true, time.Second, "The instance is leaving"},
--- /dev/null
+++ b/serving/request/quarantine/quarantine.go
@@ -0,0 +1,537 @@
+// Package quarantine finds the parts of prompts that crash backend servers, and keeps requests
+// with such a part away from them.
+//
+// A request during whose start its server closed the connection is a suspect, and so are all parts
+// of its prompt that other requests may share. Many requests are in flight when a server crashes,
+// so one crash says little. A part is quarantined once it was lost in several crashes, under
+// several requests, and no request with it was answered since. Parts that requests with other
+// parts are answered with are thereby cleared; of a lost request's parts, those that were answered
+// recently are suspected only if all of them were.
+//
+// The reports of all entry instances count together. A Snapshot is a set of reports and a set of
+// the reports that answers have cleared. Both only grow until their retention ends, so that
+// snapshots can be merged in any order and more than once.
+//
+// # Usage
+//
+//	table := quarantine.New()
+//	changes := table.Lost(now, wall, quarantine.Loss{...})      // a server closed the connection
+//	changes = table.Served(now, parts, begunAt)                 // a request was answered
+//	changes = table.Merge(now, snapshot)                        // from another instance
+//	if left, quarantined := table.Check(now, parts); quarantined {
+//		// refuse the request: it has not run
+//	}
+//
+// # Locks
+//
+// The table has one mutex. No other lock is taken while it is held.
+package quarantine
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// crashes is the number of separate crashes after which a part is quarantined, and
+	// crashesOfAnswered that of a part that was answered within historyPeriod.
+	crashes           = 3
+	crashesOfAnswered = 6
+	// requests is the number of different requests among these crashes. The attempts of one
+	// request can meet several servers that crash for another reason.
+	requests = 2
+	// separation is the least time between two crashes that are counted separately. When the
+	// connections of an instance are reset, many requests are lost at several servers at once.
+	separation = 300 * time.Millisecond
+	// quarantinePeriod is how long a part is quarantined after the last crash. Afterwards one more
+	// crash is enough, until the reports are dropped after retention. The reports of other parts
+	// are dropped after suspectPeriod.
+	quarantinePeriod = 5 * time.Minute
+	suspectPeriod    = 5 * time.Minute
+	retention        = 30 * time.Minute
+	// historyPeriod is how long an answer counts as recent.
+	historyPeriod = 10 * time.Minute
+	// Bounds of the memory: parts with reports, reports of a part, cleared reports and parts with
+	// a recent answer.
+	maxParts   = 64
+	maxReports = 16
+	maxCleared = 512
+	maxHistory = 8192
+)
+
+// Loss is a request whose server closed the connection before its answer was complete, when the
+// server had begun to write it a moment before or not at all.
+type Loss struct {
+	Request     string
+	Server      string
+	Incarnation uint64
+	// Parts are the ids of the parts of the prompt that other requests may share.
+	Parts []uint64
+}
+
+// Report states that a part was lost in the crash of a server.
+type Report struct {
+	Part uint64 `json:"part" cbor:"1,keyasint"`
+	// Server is the hash of the server's incarnation, Request that of the request's id.
+	Server  uint64 `json:"server" cbor:"2,keyasint"`
+	Request uint64 `json:"request" cbor:"3,keyasint"`
+	// AtMS is the time of the crash in Unix milliseconds by the reporting instance's clock.
+	AtMS int64 `json:"at_ms" cbor:"4,keyasint"`
+	// First is set if the part is the first one of the prompt.
+	First bool `json:"first,omitempty" cbor:"5,keyasint,omitempty"`
+}
+
+// id identifies a part in one crash, whichever instances report it.
+func (r Report) id() uint64 { return hash(r.Part, r.Server) }
+
+// Snapshot is a set of reports and of the ids of reports that answers have cleared.
+type Snapshot struct {
+	Reports []Report `json:"reports,omitempty" cbor:"1,keyasint,omitempty"`
+	Cleared []uint64 `json:"cleared,omitempty" cbor:"2,keyasint,omitempty"`
+}
+
+// IsEmpty reports whether the snapshot holds nothing.
+func (s Snapshot) IsEmpty() bool { return len(s.Reports)+len(s.Cleared) == 0 }
+
+// Change reports that a part was quarantined or released.
+type Change struct {
+	Part        uint64
+	Quarantined bool
+	// Crashes is the number of crashes that count against the part.
+	Crashes int
+}
+
+// known is a fact with the time at which it became known here. Own is set when this instance
+// observed it.
+type known struct {
+	at  time.Time
+	own bool
+}
+
+type report struct {
+	Report
+	known
+}
+
+// suspect is a part with reports that are not cleared.
+type suspect struct {
+	reports     map[uint64]*report
+	quarantined bool
+}
+
+// Table holds the suspected parts. It is safe for concurrent use.
+type Table struct {
+	mu       sync.Mutex
+	suspects map[uint64]*suspect
+	cleared  map[uint64]known
+	// answered holds when requests with a part were answered last, in two generations, so that old
+	// entries are dropped together.
+	answered, answeredBefore map[uint64]time.Time
+	generationSince          time.Time
+	digest                   uint64
+	changed                  bool
+	nextPrune                time.Time
+}
+
+// New returns a table without suspected parts.
+func New() *Table {
+	return &Table{
+		suspects: map[uint64]*suspect{}, cleared: map[uint64]known{}, answered: map[uint64]time.Time{},
+		answeredBefore: map[uint64]time.Time{},
+	}
+}
+
+// Check reports whether a request with the given parts is quarantined, and for how much longer.
+func (t *Table) Check(now time.Time, parts []uint64) (left time.Duration, quarantined bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.suspects) == 0 {
+		return 0, false
+	}
+	for _, part := range parts {
+		s := t.suspects[part]
+		if s == nil {
+			continue
+		}
+		if until := t.until(now, part, s); until.After(now) {
+			left = max(left, until.Sub(now))
+		}
+	}
+	return left, left > 0
+}
+
+// Lost adds a request that was lost. Wall is the time of day.
+func (t *Table) Lost(now, wall time.Time, loss Loss) []Change {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	server := xxhash.Sum64String(loss.Server + "/" + string(binary.LittleEndian.AppendUint64(nil, loss.Incarnation)))
+	for _, part := range t.leastAnswered(now, loss.Parts) {
+		one := Report{
+			Part: part, Server: server, Request: xxhash.Sum64String(loss.Request), AtMS: wall.UnixMilli(), First: part == loss.Parts[0],
+		}
+		t.changed = t.add(now, one, true) || t.changed
+	}
+	return t.changes(now, loss.Parts)
+}
+
+// Served adds a request that was answered completely. It clears the reports of its parts that were
+// known when its answer began, since a server crashes when it begins to write an answer.
+func (t *Table) Served(now time.Time, parts []uint64, begunAt time.Time) []Change {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.remember(now, parts)
+	touched := false
+	for _, part := range parts {
+		s := t.suspects[part]
+		if s == nil {
+			continue
+		}
+		for id, one := range s.reports {
+			if one.at.Before(begunAt) {
+				touched = true
+				t.clear(id, part, known{now, true})
+			}
+		}
+	}
+	if !touched {
+		return nil
+	}
+	t.changed = true
+	return t.changes(now, parts)
+}
+
+// Merge adds the reports of another instance.
+func (t *Table) Merge(now time.Time, from Snapshot) []Change { return t.merge(now, from, false) }
+
+// Inherit adds the reports that the previous process of this instance observed.
+func (t *Table) Inherit(now time.Time, from Snapshot) []Change { return t.merge(now, from, true) }
+
+func (t *Table) merge(now time.Time, from Snapshot, own bool) []Change {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var parts []uint64
+	for _, id := range from.Cleared {
+		if _, found := t.cleared[id]; !found {
+			parts = append(parts, t.clear(id, 0, known{now, own})...)
+		}
+	}
+	for _, one := range from.Reports {
+		if t.add(now, one, own) {
+			parts = append(parts, one.Part)
+		}
+	}
+	return t.changes(now, parts)
+}
+
+// Own returns what this instance observed, for its record in the store.
+func (t *Table) Own(now time.Time) Snapshot { return t.snapshot(now, true) }
+
+// All returns what is known from all instances, for a peer.
+func (t *Table) All(now time.Time) Snapshot { return t.snapshot(now, false) }
+
+// Digest returns a digest of what All returns.
+func (t *Table) Digest() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.digest
+}
+
+// TakeChanged reports whether Own has changed since the last call.
+func (t *Table) TakeChanged() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	changed := t.changed
+	t.changed = false
+	return changed
+}
+
+// Quarantined returns the number of quarantined parts.
+func (t *Table) Quarantined(now time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	count := 0
+	for part, s := range t.suspects {
+		if t.until(now, part, s).After(now) {
+			count++
+		}
+	}
+	return count
+}
+
+func (t *Table) snapshot(now time.Time, ownOnly bool) Snapshot {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.prune(now)
+	var all Snapshot
+	for _, s := range t.suspects {
+		for _, one := range s.reports {
+			if one.own || !ownOnly {
+				all.Reports = append(all.Reports, one.Report)
+			}
+		}
+	}
+	for id, fact := range t.cleared {
+		if fact.own || !ownOnly {
+			all.Cleared = append(all.Cleared, id)
+		}
+	}
+	slices.SortFunc(all.Reports, func(a, b Report) int { return cmp.Compare(a.id(), b.id()) })
+	slices.Sort(all.Cleared)
+	return all
+}
+
+// leastAnswered returns the parts that no request was answered with recently, or all parts if
+// there was one for each.
+func (t *Table) leastAnswered(now time.Time, parts []uint64) []uint64 {
+	var suspected []uint64
+	for _, part := range parts {
+		if !t.isAnswered(now, part) {
+			suspected = append(suspected, part)
+		}
+	}
+	if len(suspected) == 0 {
+		return parts
+	}
+	return suspected
+}
+
+func (t *Table) isAnswered(now time.Time, part uint64) bool {
+	last, found := t.answered[part]
+	if !found {
+		last, found = t.answeredBefore[part]
+	}
+	return found && now.Sub(last) < historyPeriod
+}
+
+func (t *Table) remember(now time.Time, parts []uint64) {
+	if len(t.answered) >= maxHistory/2 || now.Sub(t.generationSince) >= historyPeriod {
+		t.answered, t.answeredBefore, t.generationSince = map[uint64]time.Time{}, t.answered, now
+	}
+	for _, part := range parts {
+		t.answered[part] = now
+	}
+}
+
+// add stores a report unless it is known or cleared, and reports whether it was stored.
+func (t *Table) add(now time.Time, one Report, own bool) bool {
+	id := one.id()
+	if _, cleared := t.cleared[id]; cleared {
+		return false
+	}
+	s := t.suspects[one.Part]
+	if s == nil {
+		if len(t.suspects) >= maxParts {
+			t.dropOldestPart()
+		}
+		s = &suspect{reports: map[uint64]*report{}}
+		t.suspects[one.Part] = s
+	}
+	if same := s.reports[id]; same != nil {
+		// Instances report the same crash with different times and requests. All keep the earliest.
+		if one.AtMS < same.AtMS || (one.AtMS == same.AtMS && one.Request < same.Request) {
+			same.Report = one
+		}
+		return false
+	}
+	if len(s.reports) >= maxReports {
+		t.dropOldestReport(one.Part, s)
+	}
+	s.reports[id] = &report{one, known{now, own}}
+	t.digest ^= id
+	return true
+}
+
+// clear marks a report as cleared. Part is its part, 0 if unknown. It returns the parts that had
+// the report.
+func (t *Table) clear(id, part uint64, fact known) (parts []uint64) {
+	if len(t.cleared) >= maxCleared {
+		t.dropOldestCleared()
+	}
+	t.cleared[id] = fact
+	t.digest ^= hash(id, 0)
+	for other, s := range t.suspects {
+		if (part == 0 || part == other) && s.reports[id] != nil {
+			t.drop(other, id)
+			parts = append(parts, other)
+		}
+	}
+	return parts
+}
+
+func (t *Table) drop(part, id uint64) {
+	delete(t.suspects[part].reports, id)
+	t.digest ^= id
+}
+
+// changes returns the changes of the given parts, and forgets those without reports.
+func (t *Table) changes(now time.Time, parts []uint64) []Change {
+	var changes []Change
+	for _, part := range parts {
+		s := t.suspects[part]
+		if s == nil {
+			continue
+		}
+		quarantined := t.until(now, part, s).After(now)
+		if quarantined != s.quarantined {
+			s.quarantined = quarantined
+			changes = append(changes, Change{Part: part, Quarantined: quarantined, Crashes: len(s.reports)})
+		}
+		if len(s.reports) == 0 {
+			delete(t.suspects, part)
+		}
+	}
+	return changes
+}
+
+// until returns when the quarantine of a part ends, the zero time if it is not quarantined.
+func (t *Table) until(now time.Time, part uint64, s *suspect) time.Time {
+	needed := crashes
+	if t.isAnswered(now, part) {
+		needed = crashesOfAnswered
+	}
+	if len(s.reports) < needed {
+		return time.Time{}
+	}
+	if len(s.reports) < needed {
+		return time.Time{}
+	}
+	var counted []Report
+	for _, one := range s.reports {
+		if !t.isExplained(one.Report) {
+			counted = append(counted, one.Report)
+		}
+	}
+	if !suffice(counted, needed) {
+		return time.Time{}
+	}
+	return s.lastAt().Add(quarantinePeriod)
+}
+
+// suffice reports whether reports of one part tell of enough separate crashes under enough requests.
+func suffice(reports []Report, needed int) bool {
+	if len(reports) < needed {
+		return false
+	}
+	slices.SortFunc(reports, func(a, b Report) int { return cmp.Compare(a.AtMS, b.AtMS) })
+	different := map[uint64]bool{}
+	separate, last := 0, int64(0)
+	for _, one := range reports {
+		different[one.Request] = true
+		if separate == 0 || one.AtMS-last >= separation.Milliseconds() {
+			separate, last = separate+1, one.AtMS
+		}
+	}
+	return separate >= needed && len(different) >= requests
+}
+
+// isExplained reports whether a crash of a first part counts against a later part of the same
+// request instead. More requests share the first part, so refusing it would harm more callers, and
+// before any answer with it nothing else tells it from the part that crashes servers.
+func (t *Table) isExplained(one Report) bool {
+	if !one.First {
+		return false
+	}
+	for part, s := range t.suspects {
+		if part == one.Part || len(s.reports) < crashes {
+			continue
+		}
+		other := s.reports[hash(part, one.Server)]
+		if other == nil || other.First {
+			continue
+		}
+		var all []Report
+		for _, each := range s.reports {
+			all = append(all, each.Report)
+		}
+		if suffice(all, crashes) {
+			return true
+		}
+	}
+	return false
+}
+
+// prune drops what is older than retention.
+func (t *Table) prune(now time.Time) {
+	if now.Before(t.nextPrune) {
+		return
+	}
+	t.nextPrune = now.Add(time.Minute)
+	for part, s := range t.suspects {
+		kept := suspectPeriod
+		if s.quarantined {
+			kept = retention
+		}
+		for id, one := range s.reports {
+			if now.Sub(one.at) > kept {
+				t.drop(part, id)
+			}
+		}
+		if len(s.reports) == 0 {
+			delete(t.suspects, part)
+		}
+	}
+	for id, fact := range t.cleared {
+		if now.Sub(fact.at) > retention {
+			delete(t.cleared, id)
+			t.digest ^= hash(id, 0)
+		}
+	}
+}
+
+// dropOldestPart drops the part whose last crash is the oldest, a quarantined one only if all are.
+func (t *Table) dropOldestPart() {
+	var oldest uint64
+	var found *suspect
+	for part, s := range t.suspects {
+		if found == nil || (found.quarantined && !s.quarantined) ||
+			(found.quarantined == s.quarantined && s.lastAt().Before(found.lastAt())) {
+			oldest, found = part, s
+		}
+	}
+	for id := range found.reports {
+		t.drop(oldest, id)
+	}
+	delete(t.suspects, oldest)
+}
+
+func (t *Table) dropOldestReport(part uint64, s *suspect) {
+	var oldest *report
+	for _, one := range s.reports {
+		if oldest == nil || one.at.Before(oldest.at) {
+			oldest = one
+		}
+	}
+	t.drop(part, oldest.id())
+}
+
+// lastAt returns when the last report became known here.
+func (s *suspect) lastAt() time.Time {
+	var last time.Time
+	for _, one := range s.reports {
+		if one.at.After(last) {
+			last = one.at
+		}
+	}
+	return last
+}
+
+func (t *Table) dropOldestCleared() {
+	var oldest uint64
+	var oldestAt time.Time
+	for id, fact := range t.cleared {
+		if oldestAt.IsZero() || fact.at.Before(oldestAt) {
+			oldest, oldestAt = id, fact.at
+		}
+	}
+	delete(t.cleared, oldest)
+	t.digest ^= hash(oldest, 0)
+}
+
+func hash(a, b uint64) uint64 {
+	return xxhash.Sum64(binary.LittleEndian.AppendUint64(binary.LittleEndian.AppendUint64(nil, a), b))
+}
