Tell failures of the network and outages from prompts that crash servers

A part that was answered before, or the first of a prompt, now needs answers without it in between, a crash that a better suspect explains does not count, and a server that has answered nothing since its last loss reports nothing.

--- a/entry/relay/prompt_guard.go
+++ b/entry/relay/prompt_guard.go
@@ -23,7 +23,7 @@
 func (noGuard) PromptLost(quarantine.Loss) {}
 
 // PromptServed implements PromptGuard.
-func (noGuard) PromptServed([]uint64, time.Time) {}
+func (noGuard) PromptServed(quarantine.Answer) {}
 
 // sharedParts returns the ids of the parts of the request's prompt that other requests may share.
 func (r *requestState) sharedParts() []uint64 {
@@ -51,8 +51,8 @@
 func (r *requestState) recordLoss(a *attempt) {
 	r.lostAt = append(r.lostAt, a.choice.Backend.ID)
 	parts := r.sharedParts()
-	if len(parts) == 0 || (!a.begunAt.IsZero() && time.Since(a.begunAt) > beginPeriod) {
-		return
+	if !a.begunAt.IsZero() && time.Since(a.begunAt) > beginPeriod {
+		parts = nil
 	}
 	r.relay.PromptGuard.PromptLost(quarantine.Loss{
 		Request: r.call.ID, Server: a.choice.Backend.ID, Incarnation: a.choice.Backend.Incarnation, Parts: parts,
@@ -64,7 +64,7 @@
 	if result != route.OK || a.begunAt.IsZero() || a.response.Status != http.StatusOK {
 		return
 	}
-	if parts := r.sharedParts(); len(parts) > 0 {
-		r.relay.PromptGuard.PromptServed(parts, a.begunAt)
-	}
+	r.relay.PromptGuard.PromptServed(quarantine.Answer{
+		Server: a.choice.Backend.ID, Incarnation: a.choice.Backend.Incarnation, Parts: r.sharedParts(), BegunAt: a.begunAt,
+	})
 }
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -154,10 +154,10 @@
 type PromptGuard interface {
 	// CheckPrompt returns how much longer requests with the parts are refused, 0 if they are not.
 	CheckPrompt(parts []uint64) time.Duration
-	// PromptLost reports a request whose server closed the connection.
+	// PromptLost reports a request whose server closed the connection, also without a prompt.
 	PromptLost(loss quarantine.Loss)
-	// PromptServed reports a complete answer, and when it began.
-	PromptServed(parts []uint64, begunAt time.Time)
+	// PromptServed reports a complete answer of a server, also without a prompt.
+	PromptServed(answer quarantine.Answer)
 }
 
 // AdmissionObserver measures the admitted work.
--- a/entry/site/prompt_guard.go
+++ b/entry/site/prompt_guard.go
@@ -18,25 +18,25 @@
 // PromptLost implements relay.PromptGuard. The report reaches the other instances with this
 // instance's record, which is written within recordPeriod.
 func (s *Site) PromptLost(loss quarantine.Loss) {
-	s.logQuarantine("own", s.quarantine.Lost(time.Now(), s.calendar.Now(), loss))
+	s.quarantine.Lost(time.Now(), s.calendar.Now(), loss)
 }
 
 // PromptServed implements relay.PromptGuard.
-func (s *Site) PromptServed(parts []uint64, begunAt time.Time) {
-	s.logQuarantine("own", s.quarantine.Served(time.Now(), parts, begunAt))
+func (s *Site) PromptServed(answer quarantine.Answer) {
+	s.quarantine.Served(time.Now(), answer)
 }
 
-// mergeQuarantine adds what another instance reports about prompts.
-func (s *Site) mergeQuarantine(source string, from *quarantine.Snapshot) {
+// mergeQuarantine adds what another instance reports about prompts; nil adds nothing.
+func (s *Site) mergeQuarantine(from *quarantine.Snapshot) {
 	if from != nil {
-		s.logQuarantine(source, s.quarantine.Merge(time.Now(), *from))
+		s.quarantine.Merge(time.Now(), *from)
 	}
 }
 
-func (s *Site) logQuarantine(source string, changes []quarantine.Change) {
-	for _, change := range changes {
+func (s *Site) logQuarantine(now time.Time) {
+	for _, change := range s.quarantine.TakeChanges(now) {
 		s.logger("quarantine").WithFields(logrus.Fields{
-			"prompt_part": strconv.FormatUint(change.Part, 16), "quarantined": change.Quarantined, "crashes": change.Crashes, "source": source,
+			"prompt_part": strconv.FormatUint(change.Part, 16), "quarantined": change.Quarantined, "crashes": change.Crashes,
 		}).Warn("quarantine: a part of prompts changed")
 	}
 }
--- a/entry/site/record.go
+++ b/entry/site/record.go
@@ -73,7 +73,8 @@
 
 // runRecord writes this instance's record when a usage window ends, and refreshes it.
 func (s *Site) runRecord(ctx context.Context) error {
-	return clock.Every(ctx, recordPeriod, func(ctx context.Context, _ time.Time) {
+	return clock.Every(ctx, recordPeriod, func(ctx context.Context, now time.Time) {
+		s.logQuarantine(now)
 		if !s.record.loaded {
 			s.loadRecord(ctx)
 		}
@@ -83,7 +84,7 @@
 		if s.record.deficits.Observe(s.quota.TakeDeficits()) {
 			s.record.dirty = true
 		}
-		if s.quarantine.TakeChanged() {
+		if s.quarantine.TakeChanged(now) {
 			s.record.dirty = true
 		}
 		if s.record.loaded && (s.record.dirty || clock.Boot().Sub(s.record.writtenAt) >= departure.RefreshPeriod) {
@@ -114,7 +115,7 @@
 	s.record.loaded, s.record.dirty = true, true
 	s.record.deficits.Inherit(clock.Boot(), old.PoolDeficits)
 	if old.Quarantine != nil {
-		s.logQuarantine("own record", s.quarantine.Inherit(time.Now(), *old.Quarantine))
+		s.quarantine.Inherit(time.Now(), *old.Quarantine)
 	}
 	for number, counts := range old.Usage {
 		s.addWindow(usage.Window{Number: number, Counts: counts})
@@ -193,7 +194,7 @@
 		r.instance, r.revision = entry.Key[len(entriesPrefix):], entry.Revision
 		records = append(records, r)
 		if r.instance != s.settings.Instance {
-			s.mergeQuarantine(r.instance, r.Quarantine)
+			s.mergeQuarantine(r.Quarantine)
 		}
 		instances = append(instances, platform.Instance{
 			ID: r.instance, Incarnation: r.Incarnation, Role: platform.EntryRole, Region: r.Region,
--- a/entry/site/views.go
+++ b/entry/site/views.go
@@ -229,7 +229,7 @@
 		if response.View == nil {
 			continue
 		}
-		s.mergeQuarantine(reader.Instance, response.View.Quarantine)
+		s.mergeQuarantine(response.View.Quarantine)
 		age := time.Duration(response.View.AgeMS) * time.Millisecond
 		if age > oldest {
 			s.logger("directory").WithFields(logrus.Fields{"peer": reader.Instance, "age_ms": response.View.AgeMS}).
--- a/serving/request/quarantine/quarantine.go
+++ b/serving/request/quarantine/quarantine.go
@@ -8,6 +8,9 @@
 // parts are answered with are thereby cleared; of a lost request's parts, those that were answered
 // recently are suspected only if all of them were.
 //
+// When the connections to several servers break at the same moment, the network is the cause, and
+// no server is taken for crashed.
+//
 // The reports of all entry instances count together. A Snapshot is a set of reports and a set of
 // the reports that answers have cleared. Both only grow until their retention ends, so that
 // snapshots can be merged in any order and more than once.
@@ -15,9 +18,10 @@
 // # Usage
 //
 //	table := quarantine.New()
-//	changes := table.Lost(now, wall, quarantine.Loss{...})      // a server closed the connection
-//	changes = table.Served(now, parts, begunAt)                 // a request was answered
-//	changes = table.Merge(now, snapshot)                        // from another instance
+//	table.Lost(now, wall, quarantine.Loss{...})      // a server closed the connection
+//	table.Served(now, quarantine.Answer{...})        // a request was answered
+//	table.Merge(now, snapshot)                       // from another instance
+//	changes := table.TakeChanges(now)                // for the log
 //	if left, quarantined := table.Check(now, parts); quarantined {
 //		// refuse the request: it has not run
 //	}
@@ -42,12 +46,22 @@
 	// crashesOfAnswered that of a part that was answered within historyPeriod.
 	crashes           = 3
 	crashesOfAnswered = 6
+	// otherAnswers is the number of answers without a part that this instance must have seen since
+	// the first report of the part if it was answered recently, and otherAnswersOfFirst that for the
+	// first part of a prompt. While servers crash for other reasons, such parts are not answered
+	// either, and most callers would be refused.
+	otherAnswers        = 30
+	otherAnswersOfFirst = 5
 	// requests is the number of different requests among these crashes. The attempts of one
 	// request can meet several servers that crash for another reason.
 	requests = 2
-	// separation is the least time between two crashes that are counted separately. When the
-	// connections of an instance are reset, many requests are lost at several servers at once.
-	separation = 300 * time.Millisecond
+	// separation is the least time between two crashes that are counted separately, unless the same
+	// request met both servers: instances notice one failure of the network at different times.
+	separation = 100 * time.Millisecond
+	// burstPeriod is the time in which losses at burstServers servers count as a failure of the
+	// network.
+	burstPeriod  = 100 * time.Millisecond
+	burstServers = 3
 	// quarantinePeriod is how long a part is quarantined after the last crash. Afterwards one more
 	// crash is enough, until the reports are dropped after retention. The reports of other parts
 	// are dropped after suspectPeriod.
@@ -56,24 +70,51 @@
 	retention        = 30 * time.Minute
 	// historyPeriod is how long an answer counts as recent.
 	historyPeriod = 10 * time.Minute
-	// Bounds of the memory: parts with reports, reports of a part, cleared reports and parts with
-	// a recent answer.
+	// Bounds of the memory: parts with reports, reports of a part, cleared reports, parts with a
+	// recent answer, and servers that are down.
 	maxParts   = 64
 	maxReports = 16
 	maxCleared = 512
 	maxHistory = 8192
+	maxDown    = 1024
 )
 
-// Loss is a request whose server closed the connection before its answer was complete, when the
-// server had begun to write it a moment before or not at all.
+// Loss is a request whose server closed the connection before its answer was complete.
 type Loss struct {
 	Request     string
 	Server      string
 	Incarnation uint64
-	// Parts are the ids of the parts of the prompt that other requests may share.
+	// Parts are the ids of the parts of the prompt that other requests may share. They are empty if
+	// the server had been writing the answer for a while, so that the prompt is not the cause.
 	Parts []uint64
 }
 
+// Answer is a request that a server answered completely. Parts is empty for one without a prompt.
+type Answer struct {
+	Server      string
+	Incarnation uint64
+	Parts       []uint64
+	BegunAt     time.Time
+}
+
+// process returns the hash of the incarnation of the server.
+func (l Loss) process() uint64 { return process(l.Server, l.Incarnation) }
+
+func process(server string, incarnation uint64) uint64 {
+	return hash(xxhash.Sum64String(server), incarnation)
+}
+
+// burst holds the losses of burstPeriod, which are judged together.
+type burst struct {
+	since  time.Time
+	losses []timedLoss
+}
+
+type timedLoss struct {
+	Loss
+	at, wall time.Time
+}
+
 // Report states that a part was lost in the crash of a server.
 type Report struct {
 	Part uint64 `json:"part" cbor:"1,keyasint"`
@@ -116,6 +157,8 @@
 type report struct {
 	Report
 	known
+	// answers is the number of answers that this instance had seen before.
+	answers int
 }
 
 // suspect is a part with reports that are not cleared.
@@ -133,16 +176,23 @@
 	// entries are dropped together.
 	answered, answeredBefore map[uint64]time.Time
 	generationSince          time.Time
-	digest                   uint64
-	changed                  bool
-	nextPrune                time.Time
+	burst                    burst
+	// down holds the incarnations of servers that have answered nothing since their last loss.
+	down map[uint64]bool
+	// answers counts the requests with a prompt that were answered.
+	answers int
+	digest  uint64
+	// changed is set when Own has changed, and changes holds what TakeChanges returns next.
+	changed   bool
+	changes   []Change
+	nextPrune time.Time
 }
 
 // New returns a table without suspected parts.
 func New() *Table {
 	return &Table{
 		suspects: map[uint64]*suspect{}, cleared: map[uint64]known{}, answered: map[uint64]time.Time{},
-		answeredBefore: map[uint64]time.Time{},
+		answeredBefore: map[uint64]time.Time{}, down: map[uint64]bool{},
 	}
 }
 
@@ -150,6 +200,7 @@
 func (t *Table) Check(now time.Time, parts []uint64) (left time.Duration, quarantined bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.judgeBurst(now)
 	if len(t.suspects) == 0 {
 		return 0, false
 	}
@@ -166,58 +217,120 @@
 }
 
 // Lost adds a request that was lost. Wall is the time of day.
-func (t *Table) Lost(now, wall time.Time, loss Loss) []Change {
+func (t *Table) Lost(now, wall time.Time, loss Loss) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	server := xxhash.Sum64String(loss.Server + "/" + string(binary.LittleEndian.AppendUint64(nil, loss.Incarnation)))
-	for _, part := range t.leastAnswered(now, loss.Parts) {
+	t.judgeBurst(now)
+	if len(t.burst.losses) == 0 {
+		t.burst.since = now
+	}
+	t.burst.losses = append(t.burst.losses, timedLoss{loss, now, wall})
+}
+
+// judgeBurst adds the reports of the last burst once it is over, unless the network failed.
+func (t *Table) judgeBurst(now time.Time) {
+	if len(t.burst.losses) == 0 || now.Sub(t.burst.since) < burstPeriod {
+		return
+	}
+	losses := t.burst.losses
+	t.burst = burst{}
+	isNetwork := t.independentServers(losses) >= burstServers
+	for _, loss := range losses {
+		if !isNetwork && !t.down[loss.process()] {
+			t.addLoss(loss)
+		}
+	}
+	for _, loss := range losses {
+		if len(t.down) >= maxDown {
+			clear(t.down)
+		}
+		t.down[loss.process()] = true
+	}
+}
+
+// independentServers returns the number of servers that broke their connections independently of
+// each other. Servers that the same request met one after the other count once, and servers that
+// have answered nothing since their last loss do not count.
+func (t *Table) independentServers(losses []timedLoss) int {
+	group := map[string]string{}
+	find := func(server string) string {
+		for group[server] != server {
+			server = group[server]
+		}
+		return server
+	}
+	metBy := map[string]string{}
+	for _, loss := range losses {
+		if t.down[loss.process()] {
+			continue
+		}
+		if _, found := group[loss.Server]; !found {
+			group[loss.Server] = loss.Server
+		}
+		if before, found := metBy[loss.Request]; found {
+			group[find(loss.Server)] = find(before)
+		}
+		metBy[loss.Request] = loss.Server
+	}
+	count := 0
+	for server, parent := range group {
+		if server == parent {
+			count++
+		}
+	}
+	return count
+}
+
+func (t *Table) addLoss(loss timedLoss) {
+	for _, part := range t.leastAnswered(loss.at, loss.Parts) {
 		one := Report{
-			Part: part, Server: server, Request: xxhash.Sum64String(loss.Request), AtMS: wall.UnixMilli(), First: part == loss.Parts[0],
+			Part: part, Server: loss.process(), Request: xxhash.Sum64String(loss.Request), AtMS: loss.wall.UnixMilli(), First: part == loss.Parts[0],
 		}
-		t.changed = t.add(now, one, true) || t.changed
+		t.changed = t.add(loss.at, one, true) || t.changed
 	}
-	return t.changes(now, loss.Parts)
+	t.noteChanges(loss.at, loss.Parts)
 }
 
 // Served adds a request that was answered completely. It clears the reports of its parts that were
 // known when its answer began, since a server crashes when it begins to write an answer.
-func (t *Table) Served(now time.Time, parts []uint64, begunAt time.Time) []Change {
+func (t *Table) Served(now time.Time, answer Answer) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.remember(now, parts)
-	touched := false
-	for _, part := range parts {
+	t.judgeBurst(now)
+	delete(t.down, process(answer.Server, answer.Incarnation))
+	if len(answer.Parts) == 0 {
+		return
+	}
+	t.answers++
+	t.remember(now, answer.Parts)
+	for _, part := range answer.Parts {
 		s := t.suspects[part]
 		if s == nil {
 			continue
 		}
 		for id, one := range s.reports {
-			if one.at.Before(begunAt) {
-				touched = true
-				t.clear(id, part, known{now, true})
+			if one.at.Before(answer.BegunAt) {
+				t.changed = true
+				t.clearReport(id, part, known{now, true})
 			}
 		}
 	}
-	if !touched {
-		return nil
-	}
-	t.changed = true
-	return t.changes(now, parts)
+	t.noteChanges(now, answer.Parts)
 }
 
 // Merge adds the reports of another instance.
-func (t *Table) Merge(now time.Time, from Snapshot) []Change { return t.merge(now, from, false) }
+func (t *Table) Merge(now time.Time, from Snapshot) { t.merge(now, from, false) }
 
 // Inherit adds the reports that the previous process of this instance observed.
-func (t *Table) Inherit(now time.Time, from Snapshot) []Change { return t.merge(now, from, true) }
+func (t *Table) Inherit(now time.Time, from Snapshot) { t.merge(now, from, true) }
 
-func (t *Table) merge(now time.Time, from Snapshot, own bool) []Change {
+func (t *Table) merge(now time.Time, from Snapshot, own bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var parts []uint64
 	for _, id := range from.Cleared {
 		if _, found := t.cleared[id]; !found {
-			parts = append(parts, t.clear(id, 0, known{now, own})...)
+			parts = append(parts, t.clearReport(id, 0, known{now, own})...)
 		}
 	}
 	for _, one := range from.Reports {
@@ -225,7 +338,17 @@
 			parts = append(parts, one.Part)
 		}
 	}
-	return t.changes(now, parts)
+	t.noteChanges(now, parts)
+}
+
+// TakeChanges returns the parts that were quarantined or released since the last call.
+func (t *Table) TakeChanges(now time.Time) []Change {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.judgeBurst(now)
+	changes := t.changes
+	t.changes = nil
+	return changes
 }
 
 // Own returns what this instance observed, for its record in the store.
@@ -242,9 +365,10 @@
 }
 
 // TakeChanged reports whether Own has changed since the last call.
-func (t *Table) TakeChanged() bool {
+func (t *Table) TakeChanged(now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.judgeBurst(now)
 	changed := t.changed
 	t.changed = false
 	return changed
@@ -266,6 +390,7 @@
 func (t *Table) snapshot(now time.Time, ownOnly bool) Snapshot {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.judgeBurst(now)
 	t.prune(now)
 	var all Snapshot
 	for _, s := range t.suspects {
@@ -341,14 +466,14 @@
 	if len(s.reports) >= maxReports {
 		t.dropOldestReport(one.Part, s)
 	}
-	s.reports[id] = &report{one, known{now, own}}
+	s.reports[id] = &report{one, known{now, own}, t.answers}
 	t.digest ^= id
 	return true
 }
 
-// clear marks a report as cleared. Part is its part, 0 if unknown. It returns the parts that had
+// clearReport marks a report as cleared. Part is its part, 0 if unknown. It returns the parts that had
 // the report.
-func (t *Table) clear(id, part uint64, fact known) (parts []uint64) {
+func (t *Table) clearReport(id, part uint64, fact known) (parts []uint64) {
 	if len(t.cleared) >= maxCleared {
 		t.dropOldestCleared()
 	}
@@ -368,9 +493,9 @@
 	t.digest ^= id
 }
 
-// changes returns the changes of the given parts, and forgets those without reports.
-func (t *Table) changes(now time.Time, parts []uint64) []Change {
-	var changes []Change
+// noteChanges records which of the given parts were quarantined or released, and forgets those
+// without reports.
+func (t *Table) noteChanges(now time.Time, parts []uint64) {
 	for _, part := range parts {
 		s := t.suspects[part]
 		if s == nil {
@@ -379,34 +504,35 @@
 		quarantined := t.until(now, part, s).After(now)
 		if quarantined != s.quarantined {
 			s.quarantined = quarantined
-			changes = append(changes, Change{Part: part, Quarantined: quarantined, Crashes: len(s.reports)})
+			t.changes = append(t.changes, Change{Part: part, Quarantined: quarantined, Crashes: len(s.reports)})
 		}
 		if len(s.reports) == 0 {
 			delete(t.suspects, part)
 		}
 	}
-	return changes
 }
 
 // until returns when the quarantine of a part ends, the zero time if it is not quarantined.
 func (t *Table) until(now time.Time, part uint64, s *suspect) time.Time {
+	answered := t.isAnswered(now, part)
 	needed := crashes
-	if t.isAnswered(now, part) {
+	if answered {
 		needed = crashesOfAnswered
 	}
 	if len(s.reports) < needed {
 		return time.Time{}
 	}
-	if len(s.reports) < needed {
-		return time.Time{}
-	}
 	var counted []Report
+	first, answers := false, t.answers
 	for _, one := range s.reports {
-		if !t.isExplained(one.Report) {
-			counted = append(counted, one.Report)
+		if (answered || one.First) && t.isExplained(one.Report) {
+			continue
 		}
+		counted = append(counted, one.Report)
+		first, answers = first || one.First, min(answers, one.answers)
 	}
-	if !suffice(counted, needed) {
+	others := t.answers - answers
+	if !suffice(counted, needed) || (answered && others < otherAnswers) || (first && others < otherAnswersOfFirst) {
 		return time.Time{}
 	}
 	return s.lastAt().Add(quarantinePeriod)
@@ -419,29 +545,25 @@
 	}
 	slices.SortFunc(reports, func(a, b Report) int { return cmp.Compare(a.AtMS, b.AtMS) })
 	different := map[uint64]bool{}
-	separate, last := 0, int64(0)
+	separate, last := 0, Report{}
 	for _, one := range reports {
 		different[one.Request] = true
-		if separate == 0 || one.AtMS-last >= separation.Milliseconds() {
-			separate, last = separate+1, one.AtMS
+		if separate == 0 || one.Request == last.Request || one.AtMS-last.AtMS >= separation.Milliseconds() {
+			separate, last = separate+1, one
 		}
 	}
 	return separate >= needed && len(different) >= requests
 }
 
-// isExplained reports whether a crash of a first part counts against a later part of the same
-// request instead. More requests share the first part, so refusing it would harm more callers, and
-// before any answer with it nothing else tells it from the part that crashes servers.
+// isExplained reports whether a crash counts against another part: one that is neither the first of
+// its prompt nor was answered recently, and that was lost in enough crashes, this one among them.
 func (t *Table) isExplained(one Report) bool {
-	if !one.First {
-		return false
-	}
 	for part, s := range t.suspects {
 		if part == one.Part || len(s.reports) < crashes {
 			continue
 		}
 		other := s.reports[hash(part, one.Server)]
-		if other == nil || other.First {
+		if other == nil || other.First || t.isAnswered(other.at, part) {
 			continue
 		}
 		var all []Report
