--- a/serving/request/quarantine/quarantine_test.go
+++ b/serving/request/quarantine/quarantine_test.go
@@ -87,15 +87,15 @@
 				{1.2, "", "s1", nil, true},
 				{1.2, "", "s2", nil, true},
 				{1.2, "", "s3", nil, true},
-				{2, "d", "s1", parts, false},
-				{2, "e", "s2", nil, false},
+				{2, "d", "s1", nil, false},
+				{2, "e", "s2", parts, false},
 				{2.01, "f", "s3", nil, false},
 				{2.2, "", "s1", nil, true},
 				{2.2, "", "s2", nil, true},
 				{2.2, "", "s3", nil, true},
 				{3, "g", "s1", nil, false},
-				{3, "h", "s2", parts, false},
-				{3, "i", "s3", nil, false},
+				{3, "h", "s2", nil, false},
+				{3, "i", "s3", parts, false},
 			}, false,
 		},
 		"repeated at once at other servers": {
@@ -286,6 +286,22 @@
 	require.True(t, quarantined(alone, now, first, second), "the first part can be the deadly one")
 }
 
+// TestInnocentRequestsInCrashes guards against the quarantine of a part of sound requests that were
+// waiting at the servers when those crashed because of another part.
+func TestInnocentRequestsInCrashes(t *testing.T) {
+	table := quarantine.New()
+	steps := []step{{0, "", "s", []uint64{first, second}, true}}
+	for i := range 6 {
+		server := fmt.Sprint("s", i)
+		steps = append(steps,
+			step{1 + float64(i)/4, "d" + server, server, []uint64{first, deadly}, false},
+			step{1.01 + float64(i)/4, "i" + server, server, []uint64{first, second}, false})
+	}
+	now := play(table, append(steps, step{3, "", "others", nil, true}))
+	require.True(t, quarantined(table, now, first, deadly))
+	require.False(t, quarantined(table, now, first, second))
+}
+
 // TestAllServersCrash guards against the quarantine of all prompts after a time in which all servers
 // crashed again and again for another reason: nothing could be answered any more.
 func TestAllServersCrash(t *testing.T) {
