--- a/entry/site/configuration.go
+++ b/entry/site/configuration.go
@@ -24,6 +24,7 @@
 	if bytes.Equal(raw, s.keeper.Raw()) {
 		return
 	}
+	start := time.Now()
 	log := s.logger("configuration").WithField("source", source)
 	decoded, err := s.platform.Viewer.Decode(raw)
 	if err != nil {
@@ -43,6 +44,7 @@
 	s.updateGossip(time.Now())
 	log.WithFields(logrus.Fields{
 		"version": version.Version, "routes": len(version.Routes), "accounts": len(version.Accounts),
+		"bytes": len(raw), "decode_ms": time.Since(start).Milliseconds(),
 	}).Info("configuration: in force")
 }
 
@@ -103,9 +105,10 @@
 func (s *Site) fetch(address string) {
 	ctx, cancel := context.WithTimeout(context.Background(), peerFetchTimeout)
 	defer cancel()
+	start := time.Now()
 	raw, err := s.peers.Head(ctx, address)
 	if err != nil {
-		s.logger("configuration").WithError(err).WithField("peer", address).Warn("configuration: fetch from a peer failed")
+		s.logger("configuration").WithError(err).WithFields(logrus.Fields{"peer": address, "after_ms": time.Since(start).Milliseconds()}).Warn("configuration: fetch from a peer failed")
 		return
 	}
 	s.adopt(raw, "peer "+address)
--- a/entry/site/views.go
+++ b/entry/site/views.go
@@ -217,13 +217,16 @@
 		if s.unreachable.isRecent(reader.PeerAddress) {
 			continue
 		}
+		start := time.Now()
 		limited, cancel := context.WithTimeout(ctx, readerQueryTimeout)
 		response, err := s.queryPeer(limited, reader.PeerAddress, query{View: &request})
 		cancel()
 		if err != nil {
 			s.unreachable.add(reader.PeerAddress)
 			s.members.MarkUnanswered(time.Now(), reader.PeerAddress)
-			s.logger("directory").WithError(err).WithField("peer", reader.Instance).Warn("directory: reader did not answer")
+			s.logger("directory").WithError(err).WithFields(logrus.Fields{
+				"peer": reader.Instance, "after_ms": time.Since(start).Milliseconds(), "view_age_ms": clock.Boot().Sub(held.at).Milliseconds(),
+			}).Warn("directory: reader did not answer")
 			continue
 		}
 		if response.View == nil {
