Copy configurations in compressed chunks, apart from the view of the store

What callers saw: requests handled by a configuration that had been replaced more than 3 s before, and requests to backend servers that had said that they leave more than 3 s before.

Cause: the configuration was a part of each view, and each view had a fixed time: 200 ms from a reader, 900 ms from the store, 1 s from a peer. On 10 Mbit/s these are 0.25 to 1.25 MB. A larger configuration never arrived whole, what had arrived was thrown away, and it was asked again from up to six places at once over the same link. The list of backend servers in the same view was late too.

Change: a view holds all but the configuration. Instances that read the store watch its key; the others copy the version that a reader or peer announces in chunks of at most 32 KB, compressed and named by their hash. A copy that is interrupted goes on where it stopped, with another source, and a change of a few routes moves only the chunks around it. Reads of the store fail after silence, not after a time for the whole.

--- a/entry/site/configuration.go
+++ b/entry/site/configuration.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -12,9 +11,6 @@
 	"papayaport.dev/serving/version/service"
 )
 
-// peerFetchTimeout bounds the fetch of a configuration from a peer.
-const peerFetchTimeout = time.Second
-
 // requestBurst is the burst of a request rate limit, as the time that accrues it. A configuration
 // sets a burst for tokens only.
 const requestBurst = time.Second
@@ -35,6 +31,8 @@
 	if !s.keeper.Adopt(deployment.Snapshot{Version: version, Raw: raw}) {
 		return
 	}
+	s.archive.Add(version.Version, raw)
+	s.distribution.SetHeld(version.Version)
 	logLimits(log, before, version)
 	s.admission.SetServices(time.Now(), version.Version, s.partLimits(version))
 	s.quota.SetLimits(time.Now(), version.Version, s.poolLimits(version))
@@ -42,6 +40,7 @@
 		s.members.RegisterNames(accountsService + "/" + account.Name)
 	}
 	s.updateGossip(time.Now())
+	s.checkStarted()
 	log.WithFields(logrus.Fields{
 		"version": version.Version, "routes": len(version.Routes), "accounts": len(version.Accounts),
 		"bytes": len(raw), "decode_ms": time.Since(start).Milliseconds(),
@@ -99,17 +98,3 @@
 	}
 	return limits
 }
-
-// fetch reads a configuration from a peer that has a higher version in force, so that an instance
-// without access to the store gets it too.
-func (s *Site) fetch(address string) {
-	ctx, cancel := context.WithTimeout(context.Background(), peerFetchTimeout)
-	defer cancel()
-	start := time.Now()
-	raw, err := s.peers.Head(ctx, address)
-	if err != nil {
-		s.logger("configuration").WithError(err).WithFields(logrus.Fields{"peer": address, "after_ms": time.Since(start).Milliseconds()}).Warn("configuration: fetch from a peer failed")
-		return
-	}
-	s.adopt(raw, "peer "+address)
-}
--- a/entry/site/exchange.go
+++ b/entry/site/exchange.go
@@ -8,11 +8,15 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
 
 	"papayaport.dev/serving/connection/peer"
 	"papayaport.dev/serving/process/clock"
 	"papayaport.dev/serving/process/lease"
 	"papayaport.dev/serving/process/membership"
+	"papayaport.dev/serving/version/distribution"
+	"papayaport.dev/serving/version/publication"
 )
 
 func (s *Site) self() membership.Member {
@@ -52,7 +56,7 @@
 		s.applyPeerLimit(change.Limit)
 	case membership.ConfigChange:
 		if change.Config.Address != s.settings.AdvertisedPeers {
-			go s.fetch(change.Config.Address)
+			s.announce(distribution.Source{Address: change.Config.Address, Version: change.Config.Version})
 		}
 	}
 }
@@ -74,7 +78,8 @@
 	return h.s.exchange.Receive(time.Now(), message), nil
 }
 
-// Head returns the encoded configuration in force.
+// Head returns the encoded configuration in force, for instances that run an older version of the
+// program.
 func (h *peerHandler) Head(context.Context) ([]byte, error) {
 	raw := h.s.keeper.Raw()
 	if raw == nil {
@@ -83,11 +88,24 @@
 	return raw, nil
 }
 
-// Manifest always returns peer.ErrNotFound.
-func (h *peerHandler) Manifest(context.Context, string) ([]byte, error) { return nil, peer.ErrNotFound }
+// Manifest returns the manifest of the configuration in force. The hash is ignored.
+func (h *peerHandler) Manifest(context.Context, string) ([]byte, error) {
+	manifest, found := h.s.archive.Manifest()
+	if !found {
+		return nil, peer.ErrNotFound
+	}
+	data, err := cbor.Marshal(manifest)
+	return data, errors.Wrap(err, "encode manifest")
+}
 
-// Chunk always returns peer.ErrNotFound.
-func (h *peerHandler) Chunk(context.Context, string) ([]byte, error) { return nil, peer.ErrNotFound }
+// Chunk returns a compressed chunk of a configuration.
+func (h *peerHandler) Chunk(_ context.Context, hash string) ([]byte, error) {
+	data, found, err := h.s.archive.Chunk(publication.Hash(hash))
+	if err == nil && !found {
+		err = peer.ErrNotFound
+	}
+	return data, err
+}
 
 // HandOver always returns peer.ErrNotFound.
 func (h *peerHandler) HandOver(context.Context, peer.HandOver) error { return peer.ErrNotFound }
--- a/entry/site/rollouts_test.go
+++ b/entry/site/rollouts_test.go
@@ -63,13 +63,13 @@
 	follow := &viewPoller{site: follower, table: directory.New(directory.DefaultGracePeriod)}
 	own := platform.Entry{Key: entriesPrefix + "e", Value: []byte(`{"incarnation": 1}`)}
 	look := func(view View) *viewReply {
-		read.apply(storeView{at: clock.Boot(), servers: view.Servers, own: view.Own, rollouts: rolloutsOf(view)}, "store")
+		read.apply(storeView{at: clock.Boot(), servers: view.Servers, own: view.Own, rollouts: rolloutsOf(view)})
 		held := follower.view.Load()
 		if held == nil {
 			held = &storeView{}
 		}
 		answer := reader.handleViewQuery(viewQuery{Servers: held.serversDigest, Rollouts: held.rolloutsDigest})
-		follow.applyReply(held, answer, 0, "peer")
+		follow.applyReply(held, answer, 0)
 		return answer
 	}
 	servers := versioned("v1", "v2")
@@ -104,7 +104,7 @@
 	record := rollout.Record{Service: "app", To: "v2", Order: 5, Phase: rollout.Reverted}
 	for range 3 {
 		view := View{Servers: versioned("v1", "v2"), Orders: []rollout.Order{testOrder}, Own: []platform.Entry{recordEntry(t, record, 6)}}
-		v.apply(storeView{at: clock.Boot(), servers: view.Servers, rollouts: rolloutsOf(view)}, "store")
+		v.apply(storeView{at: clock.Boot(), servers: view.Servers, rollouts: rolloutsOf(view)})
 	}
 	require.Equal(t, 1, strings.Count(lines.String(), "rollout: order ignored"))
 	require.Nil(t, s.rollouts)
--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -48,6 +48,7 @@
 	"papayaport.dev/serving/request/quota"
 	"papayaport.dev/serving/request/route"
 	"papayaport.dev/serving/version/deployment"
+	"papayaport.dev/serving/version/distribution"
 	"papayaport.dev/serving/version/rollout"
 )
 
@@ -61,12 +62,9 @@
 	Remove(ctx context.Context, key string, ifRevision uint64) error
 }
 
-// View is a snapshot of the platform's store.
+// View is a snapshot of the platform's store without the configuration.
 type View struct {
-	// Configuration is the newest published configuration, encoded, and empty before the
-	// first one.
-	Configuration []byte
-	Servers       []directory.Server
+	Servers []directory.Server
 	// Own holds the entries that entry instances write.
 	Own []platform.Entry
 	// Leases lists the names of the leases that are held.
@@ -75,11 +73,17 @@
 	Orders []rollout.Order
 }
 
-// Viewer reads the whole of the platform's store. One read per poll covers everything that an
-// entry instance follows. Unlike a watch, polling misses nothing when the store compacts its
-// history.
+// Viewer reads the platform's store. One read per poll covers everything that an entry instance
+// follows but the configuration, which may be large and changes rarely. Unlike a watch, polling
+// misses nothing when the store compacts its history.
 type Viewer interface {
+	// View fails if nothing arrives for some time. It is not bounded otherwise, since its time
+	// depends on the link.
 	View(ctx context.Context) (View, error)
+	// Configuration returns the newest published configuration, encoded, if it was written after
+	// a revision, and waits for up to wait until it is. It is empty before the first one. The
+	// revision that it returns is for the next call; 0 reads it at once.
+	Configuration(ctx context.Context, after uint64, wait time.Duration) (raw []byte, revision uint64, err error)
 	// Decode decodes a configuration.
 	Decode(raw []byte) (deployment.Deployment, error)
 }
@@ -146,8 +150,15 @@
 	metrics  *metrics.Set
 
 	keeper deployment.Keeper
-	relay  *relay.Relay
-	routes *route.Table
+	// archive offers configurations to peers, and distribution copies them from peers. announced
+	// holds one element after a peer has announced a version.
+	archive      *distribution.Archive
+	distribution *distribution.Table
+	announced    chan struct{}
+	// followsReader is set while readers reply, so that this instance need not read the store.
+	followsReader atomic.Bool
+	relay         *relay.Relay
+	routes        *route.Table
 	// admission holds this instance's parts of the rate limits of client accounts in a small
 	// fleet, quota its accrued tokens and its pools in a large one.
 	admission *admission.Table
@@ -224,6 +235,8 @@
 	}
 	s.admission, s.quota = admission.New(), quota.New()
 	s.quarantine = quarantine.New()
+	s.archive, s.announced = distribution.NewArchive(), make(chan struct{}, 1)
+	s.distribution = distribution.New(s.archive, seeded())
 	s.poolOrders.Store(&map[string][]membership.Member{})
 	s.budget = budget.New(budget.Limits{
 		Ratio: set.Retry.Ratio, Window: seconds(set.Retry.WindowS), Allowance: set.Retry.Allowance,
@@ -287,7 +300,7 @@
 		return err
 	}
 	loops := []func(context.Context) error{
-		s.runView, s.exchange.Run, s.runRecord, s.leases.Run, s.runDuties, s.runTicks, s.runBorrow, s.runPayments, s.runLoadQueries,
+		s.runView, s.runConfiguration, s.runDistribution, s.exchange.Run, s.runRecord, s.leases.Run, s.runDuties, s.runTicks, s.runBorrow, s.runPayments, s.runLoadQueries,
 		s.runOccupancy,
 	}
 	if s.rollouts != nil {
--- a/entry/site/views.go
+++ b/entry/site/views.go
@@ -17,6 +17,7 @@
 	"papayaport.dev/serving/process/membership"
 	"papayaport.dev/serving/process/platform"
 	"papayaport.dev/serving/request/quarantine"
+	"papayaport.dev/serving/version/distribution"
 )
 
 const (
@@ -42,8 +43,6 @@
 	// fallbackPeers is the number of peers to query while the store can't be read. Most have a
 	// view if only this instance is partitioned.
 	fallbackPeers = 3
-	// viewTimeout bounds one read of the store.
-	viewTimeout = 900 * time.Millisecond
 	// viewRetryDelay is the delay before the next read after one that failed.
 	viewRetryDelay = 300 * time.Millisecond
 )
@@ -51,22 +50,21 @@
 // storeView is the last view, read from the store or from a peer.
 type storeView struct {
 	// at is when the store was read, by clock.Boot.
-	at            time.Time
-	configuration []byte
-	servers       []directory.Server
-	own           []platform.Entry
+	at      time.Time
+	servers []directory.Server
+	own     []platform.Entry
 	// leases lists the names of the leases that are held.
 	leases   []string
 	rollouts rolloutView
-	// configurationDigest, serversDigest and rolloutsDigest are compared with those of peers,
-	// so that only differences are sent.
-	configurationDigest, serversDigest, rolloutsDigest uint64
+	// serversDigest and rolloutsDigest are compared with those of peers, so that only differences
+	// are sent.
+	serversDigest, rolloutsDigest uint64
 }
 
-// viewQuery requests the view of a peer. Its digests let the peer leave out unchanged parts.
+// viewQuery requests the view of a peer. Its digests let the peer leave out unchanged parts. Key 1
+// was the digest of the configuration, which was a part of the view.
 type viewQuery struct {
-	Configuration uint64 `cbor:"1,keyasint"`
-	Servers       uint64 `cbor:"2,keyasint"`
+	Servers uint64 `cbor:"2,keyasint"`
 	// Own requests the records of the entry instances.
 	Own bool `cbor:"3,keyasint,omitempty"`
 	// Rollouts is the digest of the querying instance's roll-outs.
@@ -75,20 +73,22 @@
 	Quarantine uint64 `cbor:"5,keyasint,omitempty"`
 }
 
-// viewReply holds the parts that differ from the querying instance's view.
+// viewReply holds the parts that differ from the querying instance's view. Key 2 was the
+// configuration.
 type viewReply struct {
 	// AgeMS is the age of the view in milliseconds.
-	AgeMS         int64              `cbor:"1,keyasint"`
-	Configuration []byte             `cbor:"2,keyasint,omitempty"`
-	SameServers   bool               `cbor:"3,keyasint,omitempty"`
-	Servers       []directory.Server `cbor:"4,keyasint,omitempty"`
-	Own           []platform.Entry   `cbor:"5,keyasint,omitempty"`
+	AgeMS       int64              `cbor:"1,keyasint"`
+	SameServers bool               `cbor:"3,keyasint,omitempty"`
+	Servers     []directory.Server `cbor:"4,keyasint,omitempty"`
+	Own         []platform.Entry   `cbor:"5,keyasint,omitempty"`
 	// Leases is nil when the peer does not send them.
 	Leases []string `cbor:"6,keyasint"`
 	// Rollouts is nil when the querying instance has the same, or the peer does not send them.
 	Rollouts *rolloutView `cbor:"7,keyasint,omitempty"`
 	// Quarantine is nil when the querying instance has the same.
 	Quarantine *quarantine.Snapshot `cbor:"8,keyasint,omitempty"`
+	// Version is the version of the configuration that the peer has in force, 0 without one.
+	Version uint64 `cbor:"9,keyasint,omitempty"`
 }
 
 // digest sets the digests.
@@ -97,7 +97,7 @@
 	if err != nil {
 		return errors.Wrap(err, "encode servers")
 	}
-	h.configurationDigest, h.serversDigest = xxhash.Sum64(h.configuration), xxhash.Sum64(data)
+	h.serversDigest = xxhash.Sum64(data)
 	if data, err = cbor.Marshal(h.rollouts); err != nil {
 		return errors.Wrap(err, "encode roll-outs")
 	}
@@ -115,8 +115,8 @@
 		AgeMS: clock.Boot().Sub(held.at).Milliseconds(), SameServers: held.serversDigest == request.Servers, Leases: held.leases,
 		Quarantine: s.quarantineFor(request.Quarantine),
 	}
-	if held.configurationDigest != request.Configuration {
-		answer.Configuration = held.configuration
+	if version := s.keeper.Current(); version != nil {
+		answer.Version = version.Version
 	}
 	if !answer.SameServers {
 		answer.Servers = held.servers
@@ -130,7 +130,7 @@
 	return answer
 }
 
-// runView polls the configuration, the backend servers and the records of the entry instances.
+// runView polls the backend servers and the records of the entry instances.
 func (s *Site) runView(ctx context.Context) error {
 	v := &viewPoller{site: s, table: directory.New(directory.DefaultGracePeriod)}
 	for {
@@ -144,8 +144,9 @@
 type viewPoller struct {
 	site  *Site
 	table *directory.Table
-	// ownReceivedAt is when the records of the entry instances were last received, by clock.Boot.
-	ownReceivedAt time.Time
+	// ownReceivedAt is when the records of the entry instances were last received, and relayedAt
+	// when a reader last replied, by clock.Boot.
+	ownReceivedAt, relayedAt time.Time
 }
 
 // poll polls once and returns the delay before the next poll.
@@ -159,8 +160,13 @@
 		case isReader:
 			period = time.Duration(readerPollShare * float64(milliseconds(s.settings.LeavingMS)))
 		case v.readFromPeers(ctx, readers, period):
+			v.relayedAt = clock.Boot()
+			s.followsReader.Store(true)
 			return readerQueryPeriod
 		}
+		s.followsReader.Store(!isReader && clock.Boot().Sub(v.relayedAt) < usual)
+	} else {
+		s.followsReader.Store(false)
 	}
 	start := time.Now()
 	if v.readFromStore(ctx) {
@@ -180,7 +186,7 @@
 func (v *viewPoller) readFromStore(ctx context.Context) bool {
 	s := v.site
 	at := clock.Boot()
-	limited, cancel := context.WithTimeout(ctx, viewTimeout)
+	limited, cancel := context.WithTimeout(ctx, milliseconds(s.settings.LeavingMS))
 	defer cancel()
 	view, err := s.platform.Viewer.View(limited)
 	if ctx.Err() != nil {
@@ -195,8 +201,8 @@
 	s.setEntries(view.Own)
 	leases := append([]string{}, view.Leases...) // not nil: for peers nil means not sent
 	v.apply(storeView{
-		at: at, configuration: view.Configuration, servers: view.Servers, own: view.Own, leases: leases, rollouts: rolloutsOf(view),
-	}, "store")
+		at: at, servers: view.Servers, own: view.Own, leases: leases, rollouts: rolloutsOf(view),
+	})
 	v.ownReceivedAt = at
 	return true
 }
@@ -210,7 +216,7 @@
 		held = &storeView{}
 	}
 	request := viewQuery{
-		Configuration: held.configurationDigest, Servers: held.serversDigest, Own: clock.Boot().Sub(v.ownReceivedAt) >= recordTransferPeriod,
+		Servers: held.serversDigest, Own: clock.Boot().Sub(v.ownReceivedAt) >= recordTransferPeriod,
 		Rollouts: held.rolloutsDigest, Quarantine: s.quarantine.Digest(),
 	}
 	for _, reader := range readers {
@@ -233,25 +239,23 @@
 			continue
 		}
 		s.mergeQuarantine(response.View.Quarantine)
+		s.announce(distribution.Source{Address: reader.PeerAddress, Version: response.View.Version, Near: reader.FailureDomain == s.settings.FailureDomain})
 		age := time.Duration(response.View.AgeMS) * time.Millisecond
 		if age > oldest {
 			s.logger("directory").WithFields(logrus.Fields{"peer": reader.Instance, "age_ms": response.View.AgeMS}).
 				Debug("directory: view of the reader is too old")
 			continue
 		}
-		v.applyReply(held, response.View, age, reader.Instance)
+		v.applyReply(held, response.View, age)
 		return true
 	}
 	return false
 }
 
 // applyReply applies a reader's reply, with the unchanged parts taken from the view held before.
-func (v *viewPoller) applyReply(held *storeView, answer *viewReply, age time.Duration, reader string) {
+func (v *viewPoller) applyReply(held *storeView, answer *viewReply, age time.Duration) {
 	view := *held
 	view.at = clock.Boot().Add(-age)
-	if len(answer.Configuration) > 0 {
-		view.configuration = answer.Configuration
-	}
 	if !answer.SameServers {
 		view.servers = answer.Servers
 	}
@@ -267,16 +271,13 @@
 		v.ownReceivedAt = clock.Boot()
 		v.site.setEntries(view.own)
 	}
-	v.apply(view, "peer "+reader)
+	v.apply(view)
 }
 
 // apply applies a view.
-func (v *viewPoller) apply(view storeView, source string) {
+func (v *viewPoller) apply(view storeView) {
 	s := v.site
 	now := time.Now()
-	if len(view.configuration) > 0 {
-		s.adopt(view.configuration, source)
-	}
 	// Peers get the contents of the store. Servers that this instance retains after an outage
 	// are not passed on, since other instances may have had no outage.
 	if err := view.digest(); err != nil {
@@ -291,9 +292,7 @@
 	// without its order.
 	s.applyRolloutView(view.at, view.rollouts, servers)
 	s.setServers(now, servers)
-	if s.fleetKnown.Load() && s.keeper.Current() != nil {
-		s.startedOnce.Do(func() { close(s.fullyStarted) })
-	}
+	s.checkStarted()
 }
 
 // randomPeers returns up to fallbackPeers live peers at random.
--- a/entry/site/views_test.go
+++ b/entry/site/views_test.go
@@ -37,11 +37,11 @@
 	v := &viewPoller{site: s, table: directory.New(directory.DefaultGracePeriod)}
 	one, two := directory.Server{ID: "one", Incarnation: 1}, directory.Server{ID: "two", Incarnation: 1}
 	view := func(servers ...directory.Server) storeView { return storeView{at: clock.Boot(), servers: servers} }
-	v.apply(view(one, two), "store")
+	v.apply(view(one, two))
 	require.Len(t, s.handleViewQuery(viewQuery{}).Servers, 2)
 
 	v.table.ListFailed(time.Now())
-	v.apply(view(one), "store")
+	v.apply(view(one))
 	require.Len(t, s.backends(), 2, "servers are retained after an outage")
 	require.Equal(t, []directory.Server{one}, s.handleViewQuery(viewQuery{}).Servers)
 }
@@ -52,20 +52,20 @@
 	require.Nil(t, s.handleViewQuery(viewQuery{}), "nothing was read yet")
 	v := &viewPoller{site: s, table: directory.New(directory.DefaultGracePeriod)}
 	held := storeView{at: clock.Boot().Add(-time.Second), servers: []directory.Server{{ID: "one", Incarnation: 1}}}
-	v.apply(held, "store")
+	v.apply(held)
 	answer := s.handleViewQuery(viewQuery{})
 	require.False(t, answer.SameServers)
 	require.Len(t, answer.Servers, 1)
 	require.GreaterOrEqual(t, answer.AgeMS, int64(1000))
 	require.NoError(t, held.digest())
-	again := s.handleViewQuery(viewQuery{Configuration: held.configurationDigest, Servers: held.serversDigest})
+	again := s.handleViewQuery(viewQuery{Servers: held.serversDigest})
 	require.True(t, again.SameServers)
 	require.Empty(t, again.Servers)
 
 	// An older view than the one held changes nothing.
-	v.applyReply(s.view.Load(), &viewReply{}, time.Hour, "peer")
+	v.applyReply(s.view.Load(), &viewReply{}, time.Hour)
 	require.Len(t, s.backends(), 1)
-	v.applyReply(s.view.Load(), &viewReply{}, 0, "peer")
+	v.applyReply(s.view.Load(), &viewReply{}, 0)
 	require.Empty(t, s.backends())
 }
 
--- a/standin/fakeplatform/outside.go
+++ b/standin/fakeplatform/outside.go
@@ -24,6 +24,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -78,7 +79,11 @@
 	stale         bool
 	// snapshot holds the items that range reads return while stale is set.
 	snapshot []Item
-	calls    map[string]int
+	// compacted is the revision up to which history was dropped. changed is closed at the next
+	// change.
+	compacted uint64
+	changed   chan struct{}
+	calls     map[string]int
 	// writes holds the writes of the keys under recordedPrefixes, by key.
 	writes        map[string][]Write
 	forbiddenKeys []string
@@ -87,7 +92,7 @@
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{items: map[string]Item{}, leases: map[int64]lease{}, unavailable: map[string]bool{}, calls: map[string]int{}, writes: map[string][]Write{}, revision: 1}
+	return &Store{items: map[string]Item{}, leases: map[int64]lease{}, unavailable: map[string]bool{}, calls: map[string]int{}, writes: map[string][]Write{}, revision: 1, changed: make(chan struct{})}
 }
 
 // Put writes a key on behalf of an operator or a backend server.
@@ -104,6 +109,8 @@
 		created = old.Created
 	}
 	s.items[key] = Item{Key: key, Value: value, Revision: s.revision, Created: created, Lease: id}
+	close(s.changed)
+	s.changed = make(chan struct{})
 	s.recordWrite(s.items[key])
 }
 
@@ -160,6 +167,13 @@
 	s.stale = stale && s.snapshot != nil
 }
 
+// Compact drops the history, so that watches of earlier revisions get 410.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.compacted = s.revision
+}
+
 // Calls returns the number of calls by path.
 func (s *Store) Calls() map[string]int {
 	s.mu.Lock()
@@ -196,6 +210,9 @@
 	s.expireLeases()
 	path, id := splitID(r.URL.Path)
 	s.calls[path]++
+	if path == "/api/kv-watch" {
+		s.waitForEvent(r)
+	}
 	status, body := http.StatusServiceUnavailable, any(nil)
 	if !s.unavailable["all"] {
 		status, body = s.handle(r, path, id)
@@ -251,6 +268,8 @@
 			return http.StatusNotFound, nil
 		}
 		return http.StatusOK, item
+	case "/api/kv-watch":
+		return s.listEvents(r)
 	case "/api/kv-range":
 		return http.StatusOK, s.listPage(r.URL.Query().Get("prefix"), r.URL.Query().Get("after"))
 	case "/api/kv-txn":
@@ -285,6 +304,62 @@
 	return http.StatusNotFound, nil
 }
 
+// watched returns the prefix and the revision of a watch.
+func watched(r *http.Request) (prefix string, after uint64) {
+	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	if err != nil {
+		after = 0
+	}
+	return r.URL.Query().Get("prefix"), after
+}
+
+// waitForEvent waits for an event of a watch, for up to its wait_ms. The lock is held before and
+// after it.
+func (s *Store) waitForEvent(r *http.Request) {
+	prefix, after := watched(r)
+	wait, err := strconv.Atoi(r.URL.Query().Get("wait_ms"))
+	if err != nil {
+		return
+	}
+	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
+	defer timer.Stop()
+	for !s.unavailable["all"] && after >= s.compacted && len(s.events(prefix, after)) == 0 {
+		changed := s.changed
+		s.mu.Unlock()
+		var ended bool
+		select {
+		case <-changed:
+		case <-timer.C:
+			ended = true
+		case <-r.Context().Done():
+			ended = true
+		}
+		s.mu.Lock()
+		if ended {
+			return
+		}
+	}
+}
+
+// events returns the items under a prefix that were written after a revision.
+func (s *Store) events(prefix string, after uint64) []Item {
+	events := []Item{}
+	for _, item := range s.items {
+		if strings.HasPrefix(item.Key, prefix) && item.Revision > after {
+			events = append(events, item)
+		}
+	}
+	return events
+}
+
+func (s *Store) listEvents(r *http.Request) (int, any) {
+	prefix, after := watched(r)
+	if after < s.compacted {
+		return http.StatusGone, nil
+	}
+	return http.StatusOK, map[string]any{"events": s.events(prefix, after), "at": s.revision}
+}
+
 // pageSize is the number of items per page; small, so that tests cover paging.
 const pageSize = 20
 
