--- a/entry/relay/prompt_guard.go
+++ b/entry/relay/prompt_guard.go
@@ -1,9 +1,12 @@
 package relay
 
 import (
+	"encoding/binary"
 	"net/http"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"papayaport.dev/serving/process/problem"
 	"papayaport.dev/serving/request/quarantine"
 	"papayaport.dev/serving/request/route"
@@ -25,6 +28,19 @@
 // PromptServed implements PromptGuard.
 func (noGuard) PromptServed(quarantine.Answer) {}
 
+// digest identifies the request by its method, target, client account and body. A caller that sends
+// the request again, with another id, gets the same one.
+func (r *requestState) digest() uint64 {
+	digest := xxhash.New()
+	for _, field := range []string{r.call.Method, r.call.Host, r.call.Target, r.accountName()} {
+		// Writes to a digest never fail. The length separates the fields.
+		_, _ = digest.Write(binary.LittleEndian.AppendUint64(nil, uint64(len(field))))
+		_, _ = digest.WriteString(field)
+	}
+	_, _ = digest.Write(r.call.Body)
+	return digest.Sum64()
+}
+
 // sharedParts returns the ids of the parts of the request's prompt that other requests may share.
 func (r *requestState) sharedParts() []uint64 {
 	if r.call.Prompt == nil {
--- a/entry/relay/request.go
+++ b/entry/relay/request.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -404,7 +405,7 @@
 		"status": r.status, "attempts": r.attempts, "unsent": r.unsent, "backend": r.backend, "took_ms": took.Milliseconds(),
 	}
 	if r.version != nil {
-		fields["version"] = r.version.Version
+		fields["version"], fields["request_digest"] = r.version.Version, strconv.FormatUint(r.digest(), 16)
 	}
 	if r.account != nil {
 		fields["tokens"] = r.quotaTokens()
