--- a/standin/fakeplatform/crash.go
+++ b/standin/fakeplatform/crash.go
@@ -10,6 +10,8 @@
 type crash struct {
 	// part is the id of a prompt part that crashes the server, empty for none.
 	part string
+	// body is the body of requests that crash the server, empty for none.
+	body string
 	// downFor is how long the server is down after a crash.
 	downFor time.Duration
 	// at holds the times of the crashes so far.
@@ -27,6 +29,21 @@
 	b.crash.part, b.crash.downFor = part, downFor
 }
 
+// CrashOnBody makes the server crash when it begins with a request that has the body. It is back
+// after downFor with a new incarnation.
+func (b *Backend) CrashOnBody(body string, downFor time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.crash.body, b.crash.downFor = body, downFor
+}
+
+// isDeadlyBody reports whether a request with the body crashes the server.
+func (b *Backend) isDeadlyBody(body string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.crash.body != "" && b.crash.body == body
+}
+
 // Crashes returns the times at which the server crashed.
 func (b *Backend) Crashes() []time.Time {
 	b.mu.Lock()
--- a/standin/fakeplatform/misbehave.go
+++ b/standin/fakeplatform/misbehave.go
@@ -81,11 +81,13 @@
 	return b.misbehaviour
 }
 
-func (b *Backend) servePlain(w http.ResponseWriter, r *http.Request, id string, wrong Misbehaviour, work time.Duration) {
+func (b *Backend) servePlain(w http.ResponseWriter, r *http.Request, id string, crashed <-chan struct{}, wrong Misbehaviour, work time.Duration) {
 	select {
 	case <-time.After(work):
 	case <-r.Context().Done():
 		return
+	case <-crashed:
+		panic(http.ErrAbortHandler)
 	}
 	answer := b.Body(id)
 	switch wrong {
--- a/standin/fakeplatform/server.go
+++ b/standin/fakeplatform/server.go
@@ -257,6 +257,10 @@
 		return
 	}
 	defer b.releaseSlot()
+	if b.isDeadlyBody(string(body)) {
+		b.Crash()
+		panic(http.ErrAbortHandler)
+	}
 	b.writeBackpressureHeaders(id, header, false)
 	header.Set("X-Papayaport-Instance-Load", b.load())
 	header.Set("X-Papayaport-Server-Seal", b.Seal(id))
@@ -281,7 +285,7 @@
 	if b.Events > 0 && wrong != Fail {
 		b.serveStream(w, r, crashed, wrong, work)
 	} else {
-		b.servePlain(w, r, id, wrong, work)
+		b.servePlain(w, r, id, crashed, wrong, work)
 	}
 	if (fails || slower > 1) && r.Context().Err() == nil {
 		b.recordBadAnswer(id)
