Quarantine requests that crash backend servers

What callers saw: a request that crashes each server that begins with it came again and again, took down all servers of its service every few seconds, and requests beside it failed.

Cause: the quarantine knew the parts of prompts alone. A plain request has none, and a model request that is deadly as a whole shares its parts with sound ones.

Change: the digest of a request is a suspect like the parts of its prompt, in the same reports, records and decisions. A request that another server answered in the end is none. Crashes that one request explains do not count against parts of prompts, so sound requests with the same prompt are served; crashes that a part or another request explains do not count against a request in flight beside it.

--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -149,15 +149,18 @@
 	ObserveBackpressure(sentAt time.Time, server route.Backend, asked backpressure.Signal)
 }
 
-// PromptGuard keeps requests away from backend servers whose prompts have a part that crashes them.
-// Parts are the ids of the parts that other requests may share.
-type PromptGuard interface {
-	// CheckPrompt returns how much longer requests with the parts are refused, 0 if they are not.
-	CheckPrompt(parts []uint64) time.Duration
-	// PromptLost reports a request whose server closed the connection, also without a prompt.
-	PromptLost(loss quarantine.Loss)
-	// PromptServed reports a complete answer of a server, also without a prompt.
-	PromptServed(answer quarantine.Answer)
+// RequestGuard keeps requests away from backend servers that crash them.
+type RequestGuard interface {
+	// CheckRequest returns why a request is refused, quarantine.None if it is not, and for how much
+	// longer.
+	CheckRequest(content quarantine.Content) (quarantine.Cause, time.Duration)
+	// RequestLost reports a request whose server closed the connection.
+	RequestLost(loss quarantine.Loss)
+	// RequestServed reports a complete answer of a server.
+	RequestServed(answer quarantine.Answer)
+	// RequestEnded reports the end of a request that was lost at least once, and whether a server
+	// answered it in the end.
+	RequestEnded(request string, answered bool)
 }
 
 // AdmissionObserver measures the admitted work.
@@ -202,8 +205,8 @@
 	Routes            *route.Table
 	Limiter           Limiter
 	AdmissionObserver AdmissionObserver
-	// PromptGuard may be nil: no prompt is refused then.
-	PromptGuard          PromptGuard
+	// RequestGuard may be nil: no request is refused then.
+	RequestGuard         RequestGuard
 	BackpressureObserver BackpressureObserver
 	Budget               *budget.Table
 	Pool                 *upstream.Pool
@@ -258,7 +261,7 @@
 )
 
 // New returns a relay that serves callers at once. It takes no-ops for a nil VersionPicker, a nil
-// AttemptObserver and a nil PromptGuard.
+// AttemptObserver and a nil RequestGuard.
 func New(dependencies Dependencies) *Relay {
 	if dependencies.VersionPicker == nil {
 		dependencies.VersionPicker = anyVersion{}
@@ -266,8 +269,8 @@
 	if dependencies.AttemptObserver == nil {
 		dependencies.AttemptObserver = noObserver{}
 	}
-	if dependencies.PromptGuard == nil {
-		dependencies.PromptGuard = noGuard{}
+	if dependencies.RequestGuard == nil {
+		dependencies.RequestGuard = noGuard{}
 	}
 	return &Relay{Dependencies: dependencies, startWaitEnds: time.Now().Add(maxStartWait)}
 }
@@ -302,7 +305,7 @@
 		state.reject(w, problem.From(err))
 		return
 	}
-	if err := state.checkPrompt(); err != nil {
+	if err := state.checkQuarantine(); err != nil {
 		state.reject(w, problem.From(err))
 		return
 	}
@@ -315,6 +318,7 @@
 		return
 	}
 	defer state.finishShedding()
+	defer state.finishQuarantine()
 	state.serve(request.Context(), w)
 }
 
--- a/entry/relay/request.go
+++ b/entry/relay/request.go
@@ -93,6 +93,8 @@
 	// inside which a stream ended.
 	framing         upstream.Framing
 	unfinishedBytes int
+	// requestDigest is the result of digest, 0 before its first call.
+	requestDigest uint64
 	// lostAt lists the servers that closed their connection before the answer was complete.
 	lostAt []string
 	// progress is when the last event of the stream arrived, or the request before the first.
@@ -194,8 +196,8 @@
 // must call settle on the attempt.
 func (r *requestState) send(ctx context.Context, lastEvent string) (*attempt, error) {
 	relay := r.relay
-	// What is known of the prompt may have changed since the last attempt.
-	if err := r.checkPrompt(); err != nil {
+	// What is known of the request may have changed since the last attempt.
+	if err := r.checkQuarantine(); err != nil {
 		return nil, err
 	}
 	request := r.routeRequest()
--- a/entry/relay/prompt_guard.go
+++ b/entry/relay/request_guard.go
@@ -16,21 +16,29 @@
 // as one at the beginning of the answer. It covers the events that are on their way.
 const beginPeriod = time.Second
 
-// noGuard is a PromptGuard that refuses nothing.
+// noGuard is a RequestGuard that refuses nothing.
 type noGuard struct{}
 
-// CheckPrompt implements PromptGuard.
-func (noGuard) CheckPrompt([]uint64) time.Duration { return 0 }
+// CheckRequest implements RequestGuard.
+func (noGuard) CheckRequest(quarantine.Content) (quarantine.Cause, time.Duration) {
+	return quarantine.None, 0
+}
+
+// RequestLost implements RequestGuard.
+func (noGuard) RequestLost(quarantine.Loss) {}
 
-// PromptLost implements PromptGuard.
-func (noGuard) PromptLost(quarantine.Loss) {}
+// RequestServed implements RequestGuard.
+func (noGuard) RequestServed(quarantine.Answer) {}
 
-// PromptServed implements PromptGuard.
-func (noGuard) PromptServed(quarantine.Answer) {}
+// RequestEnded implements RequestGuard.
+func (noGuard) RequestEnded(string, bool) {}
 
 // digest identifies the request by its method, target, client account and body. A caller that sends
 // the request again, with another id, gets the same one.
 func (r *requestState) digest() uint64 {
+	if r.requestDigest != 0 {
+		return r.requestDigest
+	}
 	digest := xxhash.New()
 	for _, field := range []string{r.call.Method, r.call.Host, r.call.Target, r.accountName()} {
 		// Writes to a digest never fail. The length separates the fields.
@@ -38,7 +46,12 @@
 		_, _ = digest.WriteString(field)
 	}
 	_, _ = digest.Write(r.call.Body)
-	return digest.Sum64()
+	r.requestDigest = digest.Sum64()
+	return r.requestDigest
+}
+
+func (r *requestState) content() quarantine.Content {
+	return quarantine.Content{Digest: r.digest(), Parts: r.sharedParts()}
 }
 
 // sharedParts returns the ids of the parts of the request's prompt that other requests may share.
@@ -49,14 +62,13 @@
 	return r.call.Prompt.sharedParts()
 }
 
-// checkPrompt returns a *problem.Error of kind PromptQuarantined for a request that is refused
-// because of its prompt.
-func (r *requestState) checkPrompt() error {
-	parts := r.sharedParts()
-	if len(parts) == 0 {
-		return nil
-	}
-	if left := r.relay.PromptGuard.CheckPrompt(parts); left > 0 {
+// checkQuarantine returns a *problem.Error of kind RequestQuarantined or PromptQuarantined for a request
+// that is refused because it, or a part of its prompt, crashes backend servers.
+func (r *requestState) checkQuarantine() error {
+	switch cause, left := r.relay.RequestGuard.CheckRequest(r.content()); cause {
+	case quarantine.Request:
+		return problem.New(problem.RequestQuarantined, "this request crashes backend servers").WithRetryAfter(left)
+	case quarantine.Part:
 		return problem.New(problem.PromptQuarantined, "requests with a part of this prompt crash backend servers").WithRetryAfter(left)
 	}
 	return nil
@@ -66,21 +78,28 @@
 // complete.
 func (r *requestState) recordLoss(a *attempt) {
 	r.lostAt = append(r.lostAt, a.choice.Backend.ID)
-	parts := r.sharedParts()
+	content := r.content()
 	if !a.begunAt.IsZero() && time.Since(a.begunAt) > beginPeriod {
-		parts = nil
+		content = quarantine.Content{}
 	}
-	r.relay.PromptGuard.PromptLost(quarantine.Loss{
-		Request: r.call.ID, Server: a.choice.Backend.ID, Incarnation: a.choice.Backend.Incarnation, Parts: parts,
+	r.relay.RequestGuard.RequestLost(quarantine.Loss{
+		Request: r.call.ID, Server: a.choice.Backend.ID, Incarnation: a.choice.Backend.Incarnation, Content: content,
 	})
 }
 
+// finishQuarantine records the end of a request that was lost at least once.
+func (r *requestState) finishQuarantine() {
+	if len(r.lostAt) > 0 {
+		r.relay.RequestGuard.RequestEnded(r.call.ID, r.kind == "")
+	}
+}
+
 // recordServed records a complete answer.
 func (r *requestState) recordServed(a *attempt, result route.Result) {
-	if result != route.OK || a.begunAt.IsZero() || a.response.Status != http.StatusOK {
+	if result != route.OK || a.begunAt.IsZero() || a.response.Status/100 != http.StatusOK/100 {
 		return
 	}
-	r.relay.PromptGuard.PromptServed(quarantine.Answer{
-		Server: a.choice.Backend.ID, Incarnation: a.choice.Backend.Incarnation, Parts: r.sharedParts(), BegunAt: a.begunAt,
+	r.relay.RequestGuard.RequestServed(quarantine.Answer{
+		Server: a.choice.Backend.ID, Incarnation: a.choice.Backend.Incarnation, Content: r.content(), BegunAt: a.begunAt,
 	})
 }
--- a/entry/site/serve.go
+++ b/entry/site/serve.go
@@ -136,7 +136,14 @@
 	gauge("entries", func() float64 { return float64(s.entries()) })
 	gauge("log_lines_dropped_total", func() float64 { return float64(s.lines.Dropped()) })
 	gauge("backend_servers", func() float64 { return float64(len(s.backends())) })
-	gauge("quarantined_prompt_parts", func() float64 { return float64(s.quarantine.Quarantined(time.Now())) })
+	gauge("quarantined_prompt_parts", func() float64 {
+		parts, _ := s.quarantine.Quarantined(time.Now())
+		return float64(parts)
+	})
+	gauge("quarantined_requests", func() float64 {
+		_, requests := s.quarantine.Quarantined(time.Now())
+		return float64(requests)
+	})
 	gauge("config_version", func() float64 {
 		if version := s.keeper.Current(); version != nil {
 			return float64(version.Version)
--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -256,7 +256,7 @@
 	s.leases = lease.New(expiringLeases{p.Store}, set.Instance+"/"+formatIncarnation(s.incarnation()), s.wantedLeases, s.leaseRank,
 		s.leaseTTL(), clock.Boot, seeded())
 	parts := relay.Dependencies{
-		Versions: &s.keeper, Routes: s.routes, Limiter: s, AdmissionObserver: s.intake, BackpressureObserver: s, PromptGuard: s, Budget: s.budget, Pool: s.pool, Usage: s,
+		Versions: &s.keeper, Routes: s.routes, Limiter: s, AdmissionObserver: s.intake, BackpressureObserver: s, RequestGuard: s, Budget: s.budget, Pool: s.pool, Usage: s,
 		Room:  memorybudget.New(int64(set.MemoryMB) << 20 / responseMemoryDivisor),
 		Codec: p.Codec, Metrics: relay.NewMetrics(s.metrics), Started: s.fullyStarted, Entries: s.entries, Draw: rand.Float64, Log: s.logger("relay").WithField("failure_domain", set.FailureDomain),
 		LoadShedder: s.newLoadShedder(), LoadKnown: s.isLoadKnown,
--- a/serving/process/problem/problem.go
+++ b/serving/process/problem/problem.go
@@ -63,6 +63,7 @@
 	BackendNonsense    Kind = "backend_nonsense"
 	AnswerLost         Kind = "answer_lost"
 	PromptQuarantined  Kind = "prompt_quarantined"
+	RequestQuarantined Kind = "request_quarantined"
 	StoreUnavailable   Kind = "store_unavailable"
 	NotReady           Kind = "not_ready"
 	Leaving            Kind = "leaving"
@@ -110,6 +111,7 @@
 	BackendNonsense:    {http.StatusBadGateway, Failed, true, time.Second, "The backend server's answer is invalid"},
 	AnswerLost:         {http.StatusBadGateway, Unknown, false, 0, "The answer was lost after the request was sent"},
 	PromptQuarantined:  {http.StatusServiceUnavailable, NotRun, true, time.Minute, "A part of the prompt crashes backend servers"},
+	RequestQuarantined: {http.StatusServiceUnavailable, NotRun, true, time.Minute, "The request crashes backend servers"},
 	StoreUnavailable:   {http.StatusServiceUnavailable, NotRun, true, 2 * time.Second, "The key-value service can't be reached"},
 	NotReady:           {http.StatusServiceUnavailable, NotRun, true, time.Second, "The instance has no configuration yet"},
 	Leaving:            {http.StatusServiceUnavailable, NotRun, true, time.Second, "The instance is leaving"},
--- a/serving/request/quarantine/burst.go
+++ b/serving/request/quarantine/burst.go
@@ -11,6 +11,8 @@
 type timedLoss struct {
 	Loss
 	at, wall time.Time
+	// ended is set once the request has ended.
+	ended bool
 }
 
 // judgeBurst adds the reports of the last burst once it is over, unless the network failed.
--- a/serving/request/quarantine/decision.go
+++ b/serving/request/quarantine/decision.go
@@ -6,9 +6,13 @@
 	"time"
 )
 
-// until returns when the quarantine of a part ends, the zero time if it is not quarantined.
+// until returns when the quarantine of a part or request ends, the zero time if it is not
+// quarantined.
 func (t *Table) until(now time.Time, part uint64, s *suspect) time.Time {
-	answered := t.isAnswered(now, part)
+	if s.isRequest {
+		return t.untilOfRequest(now, part, s)
+	}
+	answered := t.answeredParts.has(now, part)
 	needed := crashes
 	if answered {
 		needed = crashesOfAnswered
@@ -26,7 +30,7 @@
 		first, answers = first || one.First, min(answers, one.answers)
 	}
 	others := t.answers - answers
-	if !suffice(counted, needed) || (answered && others < otherAnswers) || (first && others < otherAnswersOfFirst) {
+	if !suffice(counted, needed) || t.isOneRequest(counted) || (answered && others < otherAnswers) || (first && others < otherAnswersOfFirst) {
 		return time.Time{}
 	}
 	return s.lastAt().Add(quarantinePeriod)
@@ -53,18 +57,14 @@
 // its prompt nor was answered recently, and that was lost in enough crashes, this one among them.
 func (t *Table) isExplained(one Report) bool {
 	for part, s := range t.suspects {
-		if part == one.Part || len(s.reports) < crashes {
+		if s.isRequest || part == one.Part || len(s.reports) < crashes {
 			continue
 		}
 		other := s.reports[hash(part, one.Server)]
-		if other == nil || other.First || t.isAnswered(other.at, part) {
+		if other == nil || other.First || t.answeredParts.has(other.at, part) {
 			continue
 		}
-		var all []Report
-		for _, each := range s.reports {
-			all = append(all, each.Report)
-		}
-		if suffice(all, crashes) {
+		if suffice(s.all(), crashes) {
 			return true
 		}
 	}
--- a/serving/request/quarantine/quarantine.go
+++ b/serving/request/quarantine/quarantine.go
@@ -1,13 +1,18 @@
-// Package quarantine finds the parts of prompts that crash backend servers, and keeps requests
-// with such a part away from them.
+// Package quarantine finds the requests, and the parts of prompts, that crash backend servers, and
+// keeps requests that are the same or have such a part away from them.
 //
 // A request during whose start its server closed the connection is a suspect, and so are all parts
-// of its prompt that other requests may share. Many requests are in flight when a server crashes,
+// of its prompt that other requests may share. The request is known by a digest of its target,
+// caller and body, so that it is recognized when it comes again. Many requests are in flight when a server crashes,
 // so one crash says little. A part is quarantined once it was lost in several crashes, under
 // several requests, and no request with it was answered since. Parts that requests with other
 // parts are answered with are thereby cleared; of a lost request's parts, those that were answered
 // recently are suspected only if all of them were.
 //
+// Crashes that one request explains do not count against the parts of its prompt, and crashes that a
+// part or another request explains do not count against a request that was in flight beside it. A
+// request that was answered in the end, by another server, is no suspect.
+//
 // When the connections to several servers break at the same moment, the network is the cause, and
 // no server is taken for crashed.
 //
@@ -19,10 +24,11 @@
 //
 //	table := quarantine.New()
 //	table.Lost(now, wall, quarantine.Loss{...})      // a server closed the connection
-//	table.Served(now, quarantine.Answer{...})        // a request was answered
+//	table.Served(now, quarantine.Answer{...})        // a server answered
+//	table.Ended(now, request, answered)              // a request with a loss has ended
 //	table.Merge(now, snapshot)                       // from another instance
 //	changes := table.TakeChanges(now)                // for the log
-//	if left, quarantined := table.Check(now, parts); quarantined {
+//	if cause, left := table.Check(now, content); cause != quarantine.None {
 //		// refuse the request: it has not run
 //	}
 //
@@ -70,33 +76,56 @@
 	retention        = 30 * time.Minute
 	// historyPeriod is how long an answer counts as recent.
 	historyPeriod = 10 * time.Minute
-	// Bounds of the memory: parts with reports, reports of a part, cleared reports, parts with a
-	// recent answer, and servers that are down.
+	// Bounds of the memory: parts with reports, reports of a part or request, cleared reports, parts or
+	// requests with a recent answer, and servers that are down.
 	maxParts   = 64
 	maxReports = 16
-	maxCleared = 512
-	maxHistory = 8192
-	maxDown    = 1024
+	// maxRequests bounds the requests with reports, maxOwnRequests those of them that an instance
+	// writes to its record, and maxPending the requests with a loss that have not ended.
+	maxRequests    = 256
+	maxOwnRequests = 32
+	maxPending     = 1024
+	maxCleared     = 512
+	maxHistory     = 8192
+	maxDown        = 1024
 )
 
+// Content is what a request consists of, whatever its id.
+type Content struct {
+	// Digest identifies the request by its target, caller and body; 0 stands for none.
+	Digest uint64
+	// Parts are the ids of the parts of the prompt that other requests may share.
+	Parts []uint64
+}
+
 // Loss is a request whose server closed the connection before its answer was complete.
 type Loss struct {
 	Request     string
 	Server      string
 	Incarnation uint64
-	// Parts are the ids of the parts of the prompt that other requests may share. They are empty if
-	// the server had been writing the answer for a while, so that the prompt is not the cause.
-	Parts []uint64
+	// Content is empty if the server had been writing the answer for a while, so that the request is
+	// not the cause.
+	Content
 }
 
-// Answer is a request that a server answered completely. Parts is empty for one without a prompt.
+// Answer is a request that a server answered completely. Content is empty for a failure.
 type Answer struct {
 	Server      string
 	Incarnation uint64
-	Parts       []uint64
-	BegunAt     time.Time
+	Content
+	BegunAt time.Time
 }
 
+// Cause is the reason for a quarantine.
+type Cause string
+
+// Causes of quarantines.
+const (
+	None    Cause = ""
+	Request Cause = "request"
+	Part    Cause = "prompt_part"
+)
+
 // process returns the hash of the incarnation of the server.
 func (l Loss) process() uint64 { return process(l.Server, l.Incarnation) }
 
@@ -104,8 +133,9 @@
 	return hash(xxhash.Sum64String(server), incarnation)
 }
 
-// Report states that a part was lost in the crash of a server.
+// Report states that a part of a prompt or a request was lost in the crash of a server.
 type Report struct {
+	// Part is the id of the part, or the digest of the request if IsRequest is set.
 	Part uint64 `json:"part" cbor:"1,keyasint"`
 	// Server is the hash of the server's incarnation, Request that of the request's id.
 	Server  uint64 `json:"server" cbor:"2,keyasint"`
@@ -113,7 +143,8 @@
 	// AtMS is the time of the crash in Unix milliseconds by the reporting instance's clock.
 	AtMS int64 `json:"at_ms" cbor:"4,keyasint"`
 	// First is set if the part is the first one of the prompt.
-	First bool `json:"first,omitempty" cbor:"5,keyasint,omitempty"`
+	First     bool `json:"first,omitempty" cbor:"5,keyasint,omitempty"`
+	IsRequest bool `json:"is_request,omitempty" cbor:"6,keyasint,omitempty"`
 }
 
 // id identifies a part in one crash, whichever instances report it.
@@ -128,9 +159,11 @@
 // IsEmpty reports whether the snapshot holds nothing.
 func (s Snapshot) IsEmpty() bool { return len(s.Reports)+len(s.Cleared) == 0 }
 
-// Change reports that a part was quarantined or released.
+// Change reports that a part or a request was quarantined or released.
 type Change struct {
+	// Part is the id of the part, or the digest of the request if IsRequest is set.
 	Part        uint64
+	IsRequest   bool
 	Quarantined bool
 	// Crashes is the number of crashes that count against the part.
 	Crashes int
@@ -146,13 +179,14 @@
 type report struct {
 	Report
 	known
-	// answers is the number of answers that this instance had seen before.
+	// answers is the number of answers that this instance had seen before, with a prompt for a part.
 	answers int
 }
 
-// suspect is a part with reports that are not cleared.
+// suspect is a part or a request with reports that are not cleared.
 type suspect struct {
 	reports     map[uint64]*report
+	isRequest   bool
 	quarantined bool
 }
 
@@ -161,16 +195,16 @@
 	mu       sync.Mutex
 	suspects map[uint64]*suspect
 	cleared  map[uint64]known
-	// answered holds when requests with a part were answered last, in two generations, so that old
-	// entries are dropped together.
-	answered, answeredBefore map[uint64]time.Time
-	generationSince          time.Time
-	burst                    burst
+	// answeredParts and answeredRequests hold what was answered recently.
+	answeredParts, answeredRequests history
+	burst                           burst
+	// pending holds the reports on requests that have not ended, by request.
+	pending map[string][]pendingReport
 	// down holds the incarnations of servers that have answered nothing since their last loss.
 	down map[uint64]bool
-	// answers counts the requests with a prompt that were answered.
-	answers int
-	digest  uint64
+	// answers counts the requests with a prompt that were answered, and allAnswers all requests.
+	answers, allAnswers int
+	digest              uint64
 	// changed is set when Own has changed, and changes holds what TakeChanges returns next.
 	changed   bool
 	changes   []Change
@@ -180,29 +214,39 @@
 // New returns a table without suspected parts.
 func New() *Table {
 	return &Table{
-		suspects: map[uint64]*suspect{}, cleared: map[uint64]known{}, answered: map[uint64]time.Time{},
-		answeredBefore: map[uint64]time.Time{}, down: map[uint64]bool{},
+		suspects: map[uint64]*suspect{}, cleared: map[uint64]known{}, down: map[uint64]bool{}, pending: map[string][]pendingReport{},
 	}
 }
 
-// Check reports whether a request with the given parts is quarantined, and for how much longer.
-func (t *Table) Check(now time.Time, parts []uint64) (left time.Duration, quarantined bool) {
+// Check returns why a request is quarantined, None if it is not, and for how much longer.
+func (t *Table) Check(now time.Time, content Content) (cause Cause, left time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.judgeBurst(now)
 	if len(t.suspects) == 0 {
-		return 0, false
+		return None, 0
 	}
-	for _, part := range parts {
-		s := t.suspects[part]
+	for _, id := range content.ids() {
+		s := t.suspects[id]
 		if s == nil {
 			continue
 		}
-		if until := t.until(now, part, s); until.After(now) {
-			left = max(left, until.Sub(now))
+		if until := t.until(now, id, s); until.Sub(now) > left {
+			left, cause = until.Sub(now), Part
+			if s.isRequest {
+				cause = Request
+			}
 		}
 	}
-	return left, left > 0
+	return cause, left
+}
+
+// ids returns the ids of the parts and the digest.
+func (c Content) ids() []uint64 {
+	if c.Digest == 0 {
+		return c.Parts
+	}
+	return append(slices.Clip(c.Parts), c.Digest)
 }
 
 // Lost adds a request that was lost. Wall is the time of day.
@@ -213,7 +257,7 @@
 	if len(t.burst.losses) == 0 {
 		t.burst.since = now
 	}
-	t.burst.losses = append(t.burst.losses, timedLoss{loss, now, wall})
+	t.burst.losses = append(t.burst.losses, timedLoss{Loss: loss, at: now, wall: wall})
 }
 
 func (t *Table) addLoss(loss timedLoss) {
@@ -224,6 +268,9 @@
 		t.changed = t.add(loss.at, one, true) || t.changed
 	}
 	t.noteChanges(loss.at, loss.Parts)
+	if loss.Digest != 0 {
+		t.addRequest(loss)
+	}
 }
 
 // Served adds a request that was answered completely. It clears the reports of its parts that were
@@ -233,12 +280,13 @@
 	defer t.mu.Unlock()
 	t.judgeBurst(now)
 	delete(t.down, process(answer.Server, answer.Incarnation))
-	if len(answer.Parts) == 0 {
-		return
+	t.allAnswers++
+	t.answeredRequests.add(now, answer.Digest)
+	if len(answer.Parts) > 0 {
+		t.answers++
+		t.answeredParts.add(now, answer.Parts...)
 	}
-	t.answers++
-	t.remember(now, answer.Parts)
-	for _, part := range answer.Parts {
+	for _, part := range answer.ids() {
 		s := t.suspects[part]
 		if s == nil {
 			continue
@@ -250,7 +298,7 @@
 			}
 		}
 	}
-	t.noteChanges(now, answer.Parts)
+	t.noteChanges(now, answer.ids())
 }
 
 // Merge adds the reports of another instance.
@@ -309,17 +357,20 @@
 	return changed
 }
 
-// Quarantined returns the number of quarantined parts.
-func (t *Table) Quarantined(now time.Time) int {
+// Quarantined returns the number of quarantined parts and requests.
+func (t *Table) Quarantined(now time.Time) (parts, requests int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	count := 0
-	for part, s := range t.suspects {
-		if t.until(now, part, s).After(now) {
-			count++
+	for id, s := range t.suspects {
+		switch {
+		case !t.until(now, id, s).After(now):
+		case s.isRequest:
+			requests++
+		default:
+			parts++
 		}
 	}
-	return count
+	return parts, requests
 }
 
 func (t *Table) snapshot(now time.Time, ownOnly bool) Snapshot {
@@ -328,9 +379,10 @@
 	t.judgeBurst(now)
 	t.prune(now)
 	var all Snapshot
-	for _, s := range t.suspects {
+	left := t.unwritten(ownOnly)
+	for id, s := range t.suspects {
 		for _, one := range s.reports {
-			if one.own || !ownOnly {
+			if (one.own && !left[id]) || !ownOnly {
 				all.Reports = append(all.Reports, one.Report)
 			}
 		}
@@ -350,7 +402,7 @@
 func (t *Table) leastAnswered(now time.Time, parts []uint64) []uint64 {
 	var suspected []uint64
 	for _, part := range parts {
-		if !t.isAnswered(now, part) {
+		if !t.answeredParts.has(now, part) {
 			suspected = append(suspected, part)
 		}
 	}
@@ -360,23 +412,6 @@
 	return suspected
 }
 
-func (t *Table) isAnswered(now time.Time, part uint64) bool {
-	last, found := t.answered[part]
-	if !found {
-		last, found = t.answeredBefore[part]
-	}
-	return found && now.Sub(last) < historyPeriod
-}
-
-func (t *Table) remember(now time.Time, parts []uint64) {
-	if len(t.answered) >= maxHistory/2 || now.Sub(t.generationSince) >= historyPeriod {
-		t.answered, t.answeredBefore, t.generationSince = map[uint64]time.Time{}, t.answered, now
-	}
-	for _, part := range parts {
-		t.answered[part] = now
-	}
-}
-
 // add stores a report unless it is known or cleared, and reports whether it was stored.
 func (t *Table) add(now time.Time, one Report, own bool) bool {
 	id := one.id()
@@ -385,10 +420,8 @@
 	}
 	s := t.suspects[one.Part]
 	if s == nil {
-		if len(t.suspects) >= maxParts {
-			t.dropOldestPart()
-		}
-		s = &suspect{reports: map[uint64]*report{}}
+		t.makeRoom(one.IsRequest)
+		s = &suspect{reports: map[uint64]*report{}, isRequest: one.IsRequest}
 		t.suspects[one.Part] = s
 	}
 	if same := s.reports[id]; same != nil {
@@ -401,7 +434,11 @@
 	if len(s.reports) >= maxReports {
 		t.dropOldestReport(one.Part, s)
 	}
-	s.reports[id] = &report{one, known{now, own}, t.answers}
+	answers := t.answers
+	if one.IsRequest {
+		answers = t.allAnswers
+	}
+	s.reports[id] = &report{one, known{now, own}, answers}
 	t.digest ^= id
 	return true
 }
@@ -439,7 +476,7 @@
 		quarantined := t.until(now, part, s).After(now)
 		if quarantined != s.quarantined {
 			s.quarantined = quarantined
-			t.changes = append(t.changes, Change{Part: part, Quarantined: quarantined, Crashes: len(s.reports)})
+			t.changes = append(t.changes, Change{Part: part, IsRequest: s.isRequest, Quarantined: quarantined, Crashes: len(s.reports)})
 		}
 		if len(s.reports) == 0 {
 			delete(t.suspects, part)
--- a/serving/request/quarantine/quarantine_test.go
+++ b/serving/request/quarantine/quarantine_test.go
@@ -40,10 +40,10 @@
 			continue
 		}
 		if one.answered {
-			table.Served(now, quarantine.Answer{Server: one.server, Incarnation: 1, Parts: one.parts, BegunAt: now})
+			table.Served(now, quarantine.Answer{Server: one.server, Incarnation: 1, Content: quarantine.Content{Parts: one.parts}, BegunAt: now})
 			continue
 		}
-		table.Lost(now, now, quarantine.Loss{Request: one.request, Server: one.server, Incarnation: 1, Parts: one.parts})
+		table.Lost(now, now, quarantine.Loss{Request: one.request, Server: one.server, Incarnation: 1, Content: quarantine.Content{Parts: one.parts}})
 	}
 	return now.Add(settled)
 }
@@ -51,13 +51,13 @@
 // answerOthers adds answers to prompts that share no part with those of the tests.
 func answerOthers(table *quarantine.Table, now time.Time) {
 	for i := range uint64(30) {
-		table.Served(now, quarantine.Answer{Server: "other", Incarnation: 1, Parts: []uint64{500 + i}, BegunAt: now})
+		table.Served(now, quarantine.Answer{Server: "other", Incarnation: 1, Content: quarantine.Content{Parts: []uint64{500 + i}}, BegunAt: now})
 	}
 }
 
 func quarantined(table *quarantine.Table, now time.Time, parts ...uint64) bool {
-	_, found := table.Check(now, parts)
-	return found
+	cause, _ := table.Check(now, quarantine.Content{Parts: parts})
+	return cause != quarantine.None
 }
 
 // TestQuarantine guards against a part that goes on crashing servers, and against the quarantine of
@@ -166,14 +166,14 @@
 	table := quarantine.New()
 	parts := []uint64{first, deadly}
 	now := play(table, []step{{1, "a", "s1", parts, false}, {2, "b", "s2", parts, false}, {3, "c", "s3", parts, false}})
-	left, _ := table.Check(now, parts)
+	_, left := table.Check(now, quarantine.Content{Parts: parts})
 	require.Equal(t, 5*time.Minute-settled, left)
 	now = now.Add(5*time.Minute + time.Second)
 	require.False(t, quarantined(table, now, deadly))
-	table.Lost(now, now, quarantine.Loss{Request: "d", Server: "s4", Incarnation: 1, Parts: parts})
+	table.Lost(now, now, quarantine.Loss{Request: "d", Server: "s4", Incarnation: 1, Content: quarantine.Content{Parts: parts}})
 	require.True(t, quarantined(table, now.Add(settled), deadly))
 	table.TakeChanges(now)
-	table.Served(now.Add(2*time.Second), quarantine.Answer{Server: "s4", Incarnation: 1, Parts: parts, BegunAt: now.Add(time.Second)})
+	table.Served(now.Add(2*time.Second), quarantine.Answer{Server: "s4", Incarnation: 1, Content: quarantine.Content{Parts: parts}, BegunAt: now.Add(time.Second)})
 	require.Equal(t, []quarantine.Change{{Part: deadly}}, table.TakeChanges(now.Add(2*time.Second)))
 	require.False(t, quarantined(table, now.Add(2*time.Second), deadly))
 }
@@ -193,9 +193,9 @@
 				now = now.Add(time.Duration(random.IntN(2000)) * time.Millisecond)
 				table, part := tables[random.IntN(len(tables))], uint64(1+random.IntN(5))
 				if random.IntN(3) == 0 {
-					table.Served(now, quarantine.Answer{Server: "s", Incarnation: 1, Parts: []uint64{part}, BegunAt: now})
+					table.Served(now, quarantine.Answer{Server: "s", Incarnation: 1, Content: quarantine.Content{Parts: []uint64{part}}, BegunAt: now})
 				} else {
-					table.Lost(now, now, quarantine.Loss{Request: fmt.Sprint(random.IntN(9)), Server: fmt.Sprint(random.IntN(9)), Parts: []uint64{part}})
+					table.Lost(now, now, quarantine.Loss{Request: fmt.Sprint(random.IntN(9)), Server: fmt.Sprint(random.IntN(9)), Content: quarantine.Content{Parts: []uint64{part}}})
 				}
 				if random.IntN(2) == 0 {
 					tables[random.IntN(len(tables))].Merge(now, table.All(now))
@@ -284,7 +284,8 @@
 				if isDeadly {
 					parts[1] = deadly
 				}
-				_, isRefused := one.Check(now, parts)
+				cause, _ := one.Check(now, quarantine.Content{Parts: parts})
+				isRefused := cause != quarantine.None
 				switch {
 				case isRefused && !isDeadly:
 					refused++
@@ -297,9 +298,9 @@
 					if !fifth.IsZero() && now.Sub(fifth) > 3*time.Second && !f.cut[number] {
 						late++
 					}
-					one.Lost(now, now, quarantine.Loss{Request: fmt.Sprint(tick), Server: fmt.Sprint(tick), Parts: parts})
+					one.Lost(now, now, quarantine.Loss{Request: fmt.Sprint(tick), Server: fmt.Sprint(tick), Content: quarantine.Content{Parts: parts}})
 				default:
-					one.Served(now, quarantine.Answer{Server: "s", Incarnation: 1, Parts: parts, BegunAt: now})
+					one.Served(now, quarantine.Answer{Server: "s", Incarnation: 1, Content: quarantine.Content{Parts: parts}, BegunAt: now})
 				}
 				if tick%100 == 99 {
 					f.exchange(now)
@@ -355,12 +356,12 @@
 			parts := func(i uint64) []uint64 { return []uint64{first + i%3, 20 + i%7} }
 			for i := range uint64(21) {
 				if known {
-					table.Served(now, quarantine.Answer{Server: "s", Incarnation: 1, Parts: parts(i), BegunAt: now})
+					table.Served(now, quarantine.Answer{Server: "s", Incarnation: 1, Content: quarantine.Content{Parts: parts(i)}, BegunAt: now})
 				}
 			}
 			for i := range uint64(60) {
 				now = now.Add(200 * time.Millisecond)
-				table.Lost(now, now, quarantine.Loss{Request: fmt.Sprint(i), Server: fmt.Sprint(i % 6), Incarnation: i / 6, Parts: parts(i)})
+				table.Lost(now, now, quarantine.Loss{Request: fmt.Sprint(i), Server: fmt.Sprint(i % 6), Incarnation: i / 6, Content: quarantine.Content{Parts: parts(i)}})
 			}
 			now = now.Add(settled)
 			if known {
@@ -382,8 +383,8 @@
 	now := play(table, []step{{1, "a", "s1", parts, false}, {2, "b", "s2", parts, false}, {3, "c", "s3", parts, false}})
 	for i := range uint64(1000) {
 		now = now.Add(settled)
-		table.Lost(now, now, quarantine.Loss{Request: fmt.Sprint(i), Server: fmt.Sprint(i), Parts: []uint64{1000 + i}})
-		table.Served(now, quarantine.Answer{Server: "s", Incarnation: 1, Parts: []uint64{100_000 + i}, BegunAt: now})
+		table.Lost(now, now, quarantine.Loss{Request: fmt.Sprint(i), Server: fmt.Sprint(i), Content: quarantine.Content{Parts: []uint64{1000 + i}}})
+		table.Served(now, quarantine.Answer{Server: "s", Incarnation: 1, Content: quarantine.Content{Parts: []uint64{100_000 + i}}, BegunAt: now})
 	}
 	require.LessOrEqual(t, len(table.All(now).Reports), 64+3)
 	require.True(t, quarantined(table, now, deadly), "a quarantined part must outlast the others")
