Skip server entries that name no usable server

What callers saw: requests refused because their server had no address that can be reached. An entry with a port out of range, no port, a name in place of an address or an absurd number was taken for a server. Deeply nested entries and numbers beyond their type were skipped before, and none ended an instance or kept it from following the other entries.

directory.Server.Validate checks each entry.

--- a/serving/process/directory/directory.go
+++ b/serving/process/directory/directory.go
@@ -13,9 +13,13 @@
 package directory
 
 import (
+	"math"
+	"net/netip"
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // DefaultGracePeriod is the grace period after an outage in which a missing server may write its entry
@@ -43,6 +47,33 @@
 	Version string `cbor:"10,keyasint,omitempty"`
 }
 
+// Bounds of valid entries.
+const (
+	maxSlots    = 1 << 20
+	maxLeavesIn = 24 * time.Hour
+)
+
+// Validate returns an error for an entry that names no server that could be used, such as one
+// that another program has written.
+func (s Server) Validate() error {
+	if s.ID == "" || s.Service == "" || s.FailureDomain == "" {
+		return errors.New("id, service or failure domain missing")
+	}
+	if address, err := netip.ParseAddrPort(s.Address); err != nil || address.Port() == 0 {
+		return errors.Errorf("address is %q, allowed is IP:PORT", s.Address)
+	}
+	if s.Slots <= 0 || s.Slots > maxSlots {
+		return errors.Errorf("slots is %d, allowed is 1 to %d", s.Slots, maxSlots)
+	}
+	if s.Incarnation > math.MaxInt64 {
+		return errors.Errorf("incarnation is %d, allowed is up to %d", s.Incarnation, int64(math.MaxInt64))
+	}
+	if s.LeavesIn < 0 || s.LeavesIn > maxLeavesIn {
+		return errors.Errorf("time until the end is %s, allowed is up to %s", s.LeavesIn, maxLeavesIn)
+	}
+	return nil
+}
+
 // Table holds the backend servers known to one entry instance.
 type Table struct {
 	gracePeriod time.Duration
--- a/serving/request/quarantine/request_test.go
+++ b/serving/request/quarantine/request_test.go
@@ -119,7 +119,7 @@
 		{2, "b", []string{"s3", "s4"}, with(deadlyRequest), false},
 		{3, "c", []string{"s5"}, with(deadlyRequest + 1), false},
 	})
-	require.Equal(t, quarantine.Part, cause(table, now, with(deadlyRequest + 2)))
+	require.Equal(t, quarantine.Part, cause(table, now, with(deadlyRequest+2)))
 	require.Equal(t, quarantine.None, cause(table, now, quarantine.Content{Digest: soundRequest, Parts: []uint64{first}}))
 }
 
