Hold reads of the configuration for half of leaving_ms

A watch that the store holds while it is about to drop its history may not hear of a change. With a fixed 1.5 s little was left of 2 s in small fleets; it now follows leaving_ms, so that deaf time, wait and another read fit.

--- a/entry/site/distribution.go
+++ b/entry/site/distribution.go
@@ -14,10 +14,10 @@
 )
 
 const (
-	// configurationWait is how long the store holds a read of an unchanged configuration. A
-	// connection that went silent in a partition delays the next read by it and the silence that the
-	// platform's client allows.
-	configurationWait = 1500 * time.Millisecond
+	// configurationWaitShare is how long the store holds a read of an unchanged configuration, as a
+	// share of leaving_ms. While the store is about to drop its history, a read that it holds may
+	// not hear of a change, and a partition may silence its connection.
+	configurationWaitShare = 0.5
 	// copyTimeout bounds a request for a part of a configuration to a peer. The largest part takes
 	// 26 ms on a link of 10 Mbit/s; twenty instances may ask the same peer at once.
 	copyTimeout = 700 * time.Millisecond
@@ -29,6 +29,7 @@
 // a reader.
 func (s *Site) runConfiguration(ctx context.Context) error {
 	var revision uint64
+	wait := time.Duration(configurationWaitShare * float64(milliseconds(s.settings.LeavingMS)))
 	for ctx.Err() == nil {
 		if s.followsReader.Load() {
 			if err := clock.Sleep(ctx, readerQueryPeriod); err != nil {
@@ -36,7 +37,7 @@
 			}
 			continue
 		}
-		raw, next, err := s.platform.Viewer.Configuration(ctx, revision, configurationWait)
+		raw, next, err := s.platform.Viewer.Configuration(ctx, revision, wait)
 		if err != nil {
 			s.logger("configuration").WithError(err).Debug("configuration: read from the store failed")
 			if err := clock.Sleep(ctx, viewRetryDelay); err != nil {
--- a/standin/fakeplatform/outside.go
+++ b/standin/fakeplatform/outside.go
@@ -83,7 +83,9 @@
 	// change.
 	compacted uint64
 	changed   chan struct{}
-	calls     map[string]int
+	// deaf is set while watches hear of no change.
+	deaf  bool
+	calls map[string]int
 	// writes holds the writes of the keys under recordedPrefixes, by key.
 	writes        map[string][]Write
 	forbiddenKeys []string
@@ -167,11 +169,17 @@
 	s.stale = stale && s.snapshot != nil
 }
 
-// Compact drops the history, so that watches of earlier revisions get 410.
-func (s *Store) Compact() {
+// DropHistory drops the history after a time in which watches hear of no change. Watches of earlier
+// revisions get 410 from then on.
+func (s *Store) DropHistory(after time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.compacted = s.revision
+	s.deaf = true
+	time.AfterFunc(after, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.deaf, s.compacted = false, s.revision
+	})
 }
 
 // Calls returns the number of calls by path.
@@ -345,6 +353,9 @@
 func (s *Store) events(prefix string, after uint64) []Item {
 	events := []Item{}
 	for _, item := range s.items {
+		if s.deaf {
+			break
+		}
 		if strings.HasPrefix(item.Key, prefix) && item.Revision > after {
 			events = append(events, item)
 		}
