Send the differences of the list of servers to the instances that follow a reader

The whole list went to every follower whenever one server changed, and the records of all instances every 5 s, each within 200 ms. With 720 servers and 380 instances that is some 250 KB, which take 200 ms on a link of 10 Mbit/s, so no reply would arrive, and readers were taken for unreachable.

A reader now sends what has changed since the list that the follower has, and the time limit of a query adds the transfer of what its reply may hold. TestViewDelta and TestQueryTimeouts guard both; an older version of the program still gets whole lists.

--- a/entry/site/views.go
+++ b/entry/site/views.go
@@ -29,9 +29,15 @@
 	readerPollShare = 0.16
 	// readerQueryPeriod is the interval at which an instance queries its readers.
 	readerQueryPeriod = 300 * time.Millisecond
-	// readerQueryTimeout bounds a query to a reader. Peers in a failure domain answer within a
-	// millisecond.
+	// readerQueryTimeout bounds a query to a reader, beyond the transfer of what the reply may hold.
+	// Peers in a failure domain answer within a millisecond.
 	readerQueryTimeout = 200 * time.Millisecond
+	// firstViewTimeout bounds a query for a view of unknown size.
+	firstViewTimeout = time.Second
+	// slowestLink is the rate of the slowest supported link in bytes per second, 10 Mbit/s.
+	slowestLink = 10e6 / 8
+	// recentLists is the number of lists of servers that a reader knows the differences from.
+	recentLists = 16
 	// recordTransferPeriod is the interval between transfers of the entry instances' records,
 	// which change with every usage window.
 	recordTransferPeriod = 5 * time.Second
@@ -59,6 +65,33 @@
 	// serversDigest and rolloutsDigest are compared with those of peers, so that only differences
 	// are sent.
 	serversDigest, rolloutsDigest uint64
+	// recent holds the last lists of servers, this one first.
+	recent []serverList
+	// bytes is the encoded size of servers, and ownBytes that of own.
+	bytes, ownBytes int
+}
+
+// serverList is a list of servers with its digest.
+type serverList struct {
+	digest  uint64
+	servers []directory.Server
+}
+
+// transferTime returns the time for a number of bytes on the slowest supported link.
+func transferTime(bytes int) time.Duration {
+	return time.Duration(float64(bytes) / slowestLink * float64(time.Second))
+}
+
+// queryTimeout returns the time limit of a query to a reader, given the view that is held.
+func (h *storeView) queryTimeout(request viewQuery) time.Duration {
+	if h.at.IsZero() {
+		return firstViewTimeout
+	}
+	limit := readerQueryTimeout + transferTime(h.bytes)
+	if request.Own {
+		limit += transferTime(h.ownBytes)
+	}
+	return min(limit, firstViewTimeout)
 }
 
 // viewQuery requests the view of a peer. Its digests let the peer leave out unchanged parts. Key 1
@@ -71,6 +104,8 @@
 	Rollouts uint64 `cbor:"4,keyasint,omitempty"`
 	// Quarantine is the digest of what the querying instance knows about prompts.
 	Quarantine uint64 `cbor:"5,keyasint,omitempty"`
+	// Delta accepts the differences from the list of servers with the digest Servers.
+	Delta bool `cbor:"6,keyasint,omitempty"`
 }
 
 // viewReply holds the parts that differ from the querying instance's view. Key 2 was the
@@ -89,6 +124,10 @@
 	Quarantine *quarantine.Snapshot `cbor:"8,keyasint,omitempty"`
 	// Version is the version of the configuration that the peer has in force, 0 without one.
 	Version uint64 `cbor:"9,keyasint,omitempty"`
+	// Delta holds the differences of the list of servers from the querying instance's, in place of
+	// Servers, and ServersDigest is the digest of the list.
+	Delta         *directory.Delta `cbor:"10,keyasint,omitempty"`
+	ServersDigest uint64           `cbor:"11,keyasint,omitempty"`
 }
 
 // digest sets the digests.
@@ -97,7 +136,11 @@
 	if err != nil {
 		return errors.Wrap(err, "encode servers")
 	}
-	h.serversDigest = xxhash.Sum64(data)
+	h.serversDigest, h.bytes = xxhash.Sum64(data), len(data)
+	h.ownBytes = 0
+	for _, entry := range h.own {
+		h.ownBytes += len(entry.Key) + len(entry.Value)
+	}
 	if data, err = cbor.Marshal(h.rollouts); err != nil {
 		return errors.Wrap(err, "encode roll-outs")
 	}
@@ -118,8 +161,13 @@
 	if version := s.keeper.Current(); version != nil {
 		answer.Version = version.Version
 	}
+	answer.ServersDigest = held.serversDigest
 	if !answer.SameServers {
 		answer.Servers = held.servers
+		if before := held.recentServers(request.Servers); request.Delta && before != nil {
+			delta := directory.Diff(before, held.servers)
+			answer.Servers, answer.Delta = nil, &delta
+		}
 	}
 	if request.Own {
 		answer.Own = held.own
@@ -130,6 +178,16 @@
 	return answer
 }
 
+// recentServers returns the recent list of servers with a digest, nil if there is none.
+func (h *storeView) recentServers(digest uint64) []directory.Server {
+	for _, list := range h.recent {
+		if list.digest == digest {
+			return list.servers
+		}
+	}
+	return nil
+}
+
 // runView polls the backend servers and the records of the entry instances.
 func (s *Site) runView(ctx context.Context) error {
 	v := &viewPoller{site: s, table: directory.New(directory.DefaultGracePeriod)}
@@ -216,7 +274,7 @@
 		held = &storeView{}
 	}
 	request := viewQuery{
-		Servers: held.serversDigest, Own: clock.Boot().Sub(v.ownReceivedAt) >= recordTransferPeriod,
+		Servers: held.serversDigest, Delta: true, Own: clock.Boot().Sub(v.ownReceivedAt) >= recordTransferPeriod,
 		Rollouts: held.rolloutsDigest, Quarantine: s.quarantine.Digest(),
 	}
 	for _, reader := range readers {
@@ -224,7 +282,7 @@
 			continue
 		}
 		start := time.Now()
-		limited, cancel := context.WithTimeout(ctx, readerQueryTimeout)
+		limited, cancel := context.WithTimeout(ctx, held.queryTimeout(request))
 		response, err := s.queryPeer(limited, reader.PeerAddress, query{View: &request})
 		cancel()
 		if err != nil {
@@ -256,7 +314,11 @@
 func (v *viewPoller) applyReply(held *storeView, answer *viewReply, age time.Duration) {
 	view := *held
 	view.at = clock.Boot().Add(-age)
-	if !answer.SameServers {
+	switch {
+	case answer.SameServers:
+	case answer.Delta != nil:
+		view.servers = answer.Delta.Apply(held.servers)
+	default:
 		view.servers = answer.Servers
 	}
 	if answer.Rollouts != nil {
@@ -283,6 +345,7 @@
 	if err := view.digest(); err != nil {
 		s.logger("directory").WithError(err).Error("directory: view not encoded for peers")
 	}
+	view.recent = s.recentLists(&view)
 	s.view.Store(&view)
 	if view.leases != nil {
 		s.leases.Observe(dutyLease, slices.Contains(view.leases, dutyLease))
@@ -295,6 +358,19 @@
 	s.checkStarted()
 }
 
+// recentLists returns the last lists of servers, with that of a new view first.
+func (s *Site) recentLists(view *storeView) []serverList {
+	var before []serverList
+	if held := s.view.Load(); held != nil {
+		before = held.recent
+	}
+	if len(before) > 0 && before[0].digest == view.serversDigest {
+		return before
+	}
+	lists := append([]serverList{{view.serversDigest, view.servers}}, before...)
+	return lists[:min(recentLists, len(lists))]
+}
+
 // randomPeers returns up to fallbackPeers live peers at random.
 func (s *Site) randomPeers() []membership.Member {
 	live := s.members.Live(time.Now())
--- a/entry/site/views_test.go
+++ b/entry/site/views_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
@@ -46,6 +47,66 @@
 	require.Equal(t, []directory.Server{one}, s.handleViewQuery(viewQuery{}).Servers)
 }
 
+// TestViewDelta guards against replies that grow with the number of servers when one of them changes,
+// and against a list that differs from the reader's.
+func TestViewDelta(t *testing.T) {
+	reader, follower := newTestSite(t), newTestSite(t)
+	read := &viewPoller{site: reader, table: directory.New(directory.DefaultGracePeriod)}
+	follow := &viewPoller{site: follower, table: directory.New(directory.DefaultGracePeriod)}
+	list := func(first, count int) (servers []directory.Server) {
+		for i := range count {
+			servers = append(servers, directory.Server{ID: fmt.Sprintf("i-%05d", first+i), Incarnation: 1, Service: "app", Address: "127.0.0.1:80"})
+		}
+		return servers
+	}
+	query := func(delta bool) *viewReply {
+		held := follower.view.Load()
+		if held == nil {
+			held = &storeView{}
+		}
+		answer := reader.handleViewQuery(viewQuery{Servers: held.serversDigest, Delta: delta})
+		follow.applyReply(held, answer, 0)
+		return answer
+	}
+	read.apply(storeView{at: clock.Boot(), servers: list(0, 720)})
+	require.Len(t, query(true).Servers, 720, "the first view is whole")
+	for round := range 3 {
+		changed := list(round+1, 720)
+		changed[5].Leaving = true
+		read.apply(storeView{at: clock.Boot(), servers: changed})
+		answer := query(true)
+		require.Empty(t, answer.Servers)
+		require.LessOrEqual(t, len(answer.Delta.Changed)+len(answer.Delta.Gone), 4)
+		require.Equal(t, changed, follower.view.Load().servers)
+		require.Equal(t, answer.ServersDigest, follower.view.Load().serversDigest)
+	}
+	read.apply(storeView{at: clock.Boot(), servers: list(9, 720)})
+	require.Len(t, query(false).Servers, 720, "an older version of the program gets the whole list")
+	for round := range recentLists + 1 {
+		read.apply(storeView{at: clock.Boot(), servers: list(100+round, 720)})
+	}
+	require.Len(t, query(true).Servers, 720, "a list that is not recent")
+}
+
+// TestQueryTimeouts guards against queries whose reply does not fit into their time on a slow link,
+// so that no view ever arrives, and against a reader that is gone and delays the next one for long.
+func TestQueryTimeouts(t *testing.T) {
+	own := []platform.Entry{{Key: "k", Value: make([]byte, 380*400)}}
+	var servers []directory.Server
+	for i := range 720 {
+		servers = append(servers, directory.Server{
+			ID: fmt.Sprintf("i-%010d", i), Incarnation: 1_700_000_000_000, Service: "model-pool", Address: "10.200.100.200:8104", FailureDomain: "amman-a", Slots: 128, Version: "v1",
+		})
+	}
+	view := storeView{at: clock.Boot(), servers: servers, own: own}
+	require.NoError(t, view.digest())
+	whole, err := cbor.Marshal(viewReply{Servers: servers, Own: own})
+	require.NoError(t, err)
+	require.Greater(t, view.queryTimeout(viewQuery{Own: true}), transferTime(len(whole)))
+	require.LessOrEqual(t, view.queryTimeout(viewQuery{}), 300*time.Millisecond)
+	require.Equal(t, firstViewTimeout, (&storeView{}).queryTimeout(viewQuery{}))
+}
+
 // TestViewQuery guards that a reply holds only what differs from the querying instance's view.
 func TestViewQuery(t *testing.T) {
 	s := newTestSite(t)
