Test the digest of requests and what mutations of the quarantine and of copies left untested

Of 16 mutations, five survived first: answered requests counted, requests that explain each other, polled requests, which request is dropped first, and a chunk with another content. Each has a test now.

--- a/serving/request/quarantine/request_test.go
+++ b/serving/request/quarantine/request_test.go
@@ -134,7 +134,43 @@
 		losses = append(losses, loss{1 + float64(i), fmt.Sprint("p", i), []string{fmt.Sprint("s", i)}, polled, false})
 	}
 	now := lose(table, losses)
+	answerOthers(table, now)
 	require.Equal(t, quarantine.None, cause(table, now, polled))
+	now = lose(table, append(losses, loss{6, "p5", []string{"s5"}, polled, false}))
+	answerOthers(table, now)
+	require.Equal(t, quarantine.Request, cause(table, now, polled), "it may have become deadly")
+}
+
+// TestAnsweredRequestsAreNotReported guards against records and memory that grow with each request
+// that another server answered after a crash.
+func TestAnsweredRequestsAreNotReported(t *testing.T) {
+	table := quarantine.New()
+	now := start
+	for i := range 10 {
+		now = now.Add(settled)
+		request := fmt.Sprint("r", i)
+		table.Lost(now, now, quarantine.Loss{Request: request, Server: request, Content: quarantine.Content{Digest: soundRequest}})
+		if i%2 == 0 {
+			now = now.Add(settled) // the loss is judged before the request ends
+			table.TakeChanges(now)
+		}
+		table.Ended(now, request, true)
+	}
+	require.True(t, table.All(now.Add(settled)).IsEmpty())
+}
+
+// TestSameCrashes guards against two requests that explain each other's crashes, so that neither is
+// quarantined.
+func TestSameCrashes(t *testing.T) {
+	table := quarantine.New()
+	dead, beside := quarantine.Content{Digest: deadlyRequest}, quarantine.Content{Digest: soundRequest}
+	now := lose(table, []loss{
+		{1, "a", []string{"s1", "s2"}, dead, false},
+		{1, "x", []string{"s1", "s2"}, beside, false},
+		{2, "b", []string{"s3"}, dead, false},
+		{2, "y", []string{"s3"}, beside, false},
+	})
+	require.Equal(t, quarantine.Request, cause(table, now, dead))
 }
 
 // TestBoundsOfRequests guards against memory and records that grow with the requests that are in
@@ -155,6 +191,23 @@
 	require.Equal(t, quarantine.Request, cause(table, now, dead))
 }
 
+// TestManyRequestsBetweenCrashes guards against the loss of what is known of a request while many
+// others are lost once.
+func TestManyRequestsBetweenCrashes(t *testing.T) {
+	table := quarantine.New()
+	dead := quarantine.Content{Digest: deadlyRequest}
+	now := lose(table, []loss{{1, "a", []string{"s1", "s2"}, dead, false}})
+	for i := range uint64(400) {
+		now = now.Add(settled)
+		request := fmt.Sprint("other ", i)
+		table.Lost(now, now, quarantine.Loss{Request: request, Server: request, Incarnation: 1, Content: quarantine.Content{Digest: 1000 + i}})
+		table.Ended(now, request, false)
+	}
+	table.Lost(now, now, quarantine.Loss{Request: "b", Server: "s3", Incarnation: 1, Content: dead})
+	table.Ended(now, "b", false)
+	require.Equal(t, quarantine.Request, cause(table, now.Add(settled), dead))
+}
+
 // TestFleetsWithDeadlyRequest guards against a request that no single instance sees often enough,
 // through kills of instances between its crashes, and against the refusal of sound requests, of
 // which many are in flight in each crash.
--- a/serving/version/distribution/distribution_test.go
+++ b/serving/version/distribution/distribution_test.go
@@ -172,6 +172,13 @@
 			order, _, _ := target.table.Next(now)
 			require.Error(t, target.table.ReceiveChunk(now, order, []byte("wrong")))
 		}, raw, 1, 0},
+		"one source sends another chunk": {func(sources map[string]*node, target *node) {
+			order, _, _ := target.table.Next(now)
+			manifest, _ := sources["a"].archive.Manifest()
+			other, _, err := sources["a"].archive.Chunk(manifest.Chunks[len(manifest.Chunks)-1])
+			require.NoError(t, err)
+			require.Error(t, target.table.ReceiveChunk(now, order, other))
+		}, raw, 1, 0},
 		"a version beyond the size": {func(_ map[string]*node, target *node) {
 			target.table.Announce(distribution.Source{Address: "c", Version: 50})
 			order, _, _ := target.table.Next(now)
