Copy whole configurations from instances that run an older version of the program

Without it an instance that follows a reader of the version before would stay at its configuration until it reads the store itself. Such readers also send the configuration with each view unless the query has its digest, so the digest is sent.

--- a/entry/site/configuration.go
+++ b/entry/site/configuration.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
 	"papayaport.dev/serving/request/quota"
@@ -31,6 +32,7 @@
 	if !s.keeper.Adopt(deployment.Snapshot{Version: version, Raw: raw}) {
 		return
 	}
+	s.configurationDigest.Store(xxhash.Sum64(raw))
 	s.archive.Add(version.Version, raw)
 	s.distribution.SetHeld(version.Version)
 	logLimits(log, before, version)
--- a/entry/site/distribution.go
+++ b/entry/site/distribution.go
@@ -113,6 +113,9 @@
 func (s *Site) requestManifest(ctx context.Context, order distribution.Order) error {
 	var manifest distribution.Manifest
 	data, err := s.peers.Manifest(ctx, order.Address, "")
+	if errors.Is(err, peer.ErrNotFound) {
+		return s.copyWhole(order)
+	}
 	if err == nil {
 		err = errors.Wrap(cbor.Unmarshal(data, &manifest), "decode manifest")
 	}
@@ -123,6 +126,20 @@
 	return s.distribution.ReceiveManifest(order, manifest)
 }
 
+// copyWhole copies a configuration from an instance that runs an older version of the program, which
+// offers no chunks.
+func (s *Site) copyWhole(order distribution.Order) error {
+	defer func() { s.distribution.Fail(time.Now(), order) }() // has no effect on a version that is held
+	ctx, cancel := context.WithTimeout(context.Background(), milliseconds(s.settings.LeavingMS))
+	defer cancel()
+	raw, err := s.peers.Head(ctx, order.Address)
+	if err != nil {
+		return err
+	}
+	s.adopt(raw, "peer "+order.Address)
+	return nil
+}
+
 func (s *Site) requestChunk(ctx context.Context, order distribution.Order) error {
 	data, err := s.peers.Chunk(ctx, order.Address, string(order.Chunk))
 	switch {
--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -155,6 +155,8 @@
 	archive      *distribution.Archive
 	distribution *distribution.Table
 	announced    chan struct{}
+	// configurationDigest is the digest of the encoded configuration in force.
+	configurationDigest atomic.Uint64
 	// followsReader is set while readers reply, so that this instance need not read the store.
 	followsReader atomic.Bool
 	relay         *relay.Relay
--- a/entry/site/views.go
+++ b/entry/site/views.go
@@ -94,10 +94,12 @@
 	return min(limit, firstViewTimeout)
 }
 
-// viewQuery requests the view of a peer. Its digests let the peer leave out unchanged parts. Key 1
-// was the digest of the configuration, which was a part of the view.
+// viewQuery requests the view of a peer. Its digests let the peer leave out unchanged parts.
 type viewQuery struct {
-	Servers uint64 `cbor:"2,keyasint"`
+	// Configuration is the digest of the configuration in force. Instances that run an older version
+	// of the program send the configuration with the view unless it is the same.
+	Configuration uint64 `cbor:"1,keyasint"`
+	Servers       uint64 `cbor:"2,keyasint"`
 	// Own requests the records of the entry instances.
 	Own bool `cbor:"3,keyasint,omitempty"`
 	// Rollouts is the digest of the querying instance's roll-outs.
@@ -274,7 +276,7 @@
 		held = &storeView{}
 	}
 	request := viewQuery{
-		Servers: held.serversDigest, Delta: true, Own: clock.Boot().Sub(v.ownReceivedAt) >= recordTransferPeriod,
+		Configuration: s.configurationDigest.Load(), Servers: held.serversDigest, Delta: true, Own: clock.Boot().Sub(v.ownReceivedAt) >= recordTransferPeriod,
 		Rollouts: held.rolloutsDigest, Quarantine: s.quarantine.Digest(),
 	}
 	for _, reader := range readers {
