Let instances that are gone leave room for other sources of a configuration

Sixteen sources that had failed kept others from being asked, so that a copy could not begin until one of them was back. TestManySourcesThatAreGone failed before.

--- a/serving/version/distribution/distribution_test.go
+++ b/serving/version/distribution/distribution_test.go
@@ -206,6 +206,34 @@
 	}
 }
 
+// TestManySourcesThatAreGone guards against a copy that never begins because all known sources are gone.
+func TestManySourcesThatAreGone(t *testing.T) {
+	now := time.Unix(1000, 0)
+	target, source := newNode(1), newNode(2)
+	raw := routes(9, 100)
+	source.adopt(9, raw)
+	for i := range 40 {
+		target.table.Announce(distribution.Source{Address: fmt.Sprint("gone ", i), Version: 9})
+		order, _, found := target.table.Next(now)
+		if found {
+			target.table.Fail(now, order)
+		}
+	}
+	target.table.Announce(distribution.Source{Address: "a", Version: 9})
+	for target.raw == nil && now.Before(time.Unix(1010, 0)) {
+		order, _, found := target.table.Next(now)
+		if !found {
+			now = now.Add(10 * time.Millisecond)
+			continue
+		}
+		target.answer(t, now, order, map[string]*node{"a": source}[order.Address])
+		if complete, done := target.table.Take(); done {
+			target.adopt(complete.Version, complete.Raw)
+		}
+	}
+	require.Equal(t, raw, target.raw)
+}
+
 // TestHeldVersionIsNotCopied guards against copies of versions that are in force or lower, and of one that
 // could not be decoded.
 func TestHeldVersionIsNotCopied(t *testing.T) {
--- a/serving/version/distribution/table.go
+++ b/serving/version/distribution/table.go
@@ -84,15 +84,30 @@
 	if s.Version <= t.held || s.Address == "" {
 		return
 	}
-	known, found := t.sources[s.Address]
-	switch {
-	case found:
+	if known, found := t.sources[s.Address]; found {
 		known.Version, known.Near = max(known.Version, s.Version), known.Near || s.Near
-	case len(t.sources) < maxSources:
+		return
+	}
+	if len(t.sources) >= maxSources {
+		t.dropFailed()
+	}
+	if len(t.sources) < maxSources {
 		t.sources[s.Address] = &source{Source: s}
 	}
 }
 
+// dropFailed drops the source that failed last, if any did, so that instances that are gone leave
+// room for others.
+func (t *Table) dropFailed() {
+	last := ""
+	for address, s := range t.sources {
+		if !s.retryAt.IsZero() && (last == "" || s.retryAt.After(t.sources[last].retryAt)) {
+			last = address
+		}
+	}
+	delete(t.sources, last)
+}
+
 // SetHeld records the version in force. Versions up to it are not copied.
 func (t *Table) SetHeld(version uint64) {
 	t.mu.Lock()
