Read a small configuration with the view of the store

Views include a configuration of up to 64 KB again, which takes 0.1 s at 10 Mbit/s, and only a larger one is watched.

--- a/entry/site/configuration.go
+++ b/entry/site/configuration.go
@@ -18,6 +18,7 @@
 
 // adopt puts a configuration into force unless the version in force is at least as high.
 func (s *Site) adopt(raw []byte, source string) {
+	s.configurationBytes.Store(int64(len(raw)))
 	if bytes.Equal(raw, s.keeper.Raw()) {
 		return
 	}
--- a/entry/site/distribution.go
+++ b/entry/site/distribution.go
@@ -18,6 +18,9 @@
 	// share of leaving_ms. While the store is about to drop its history, a read that it holds may
 	// not hear of a change, and a partition may silence its connection.
 	configurationWaitShare = 0.5
+	// maxViewConfigurationBytes is the size up to which a configuration is a part of each view: 0.1 s on
+	// a link of 10 Mbit/s.
+	maxViewConfigurationBytes = 64 << 10
 	// copyTimeout bounds a request for a part of a configuration to a peer. The largest part takes
 	// 26 ms on a link of 10 Mbit/s; twenty instances may ask the same peer at once.
 	copyTimeout = 700 * time.Millisecond
@@ -25,13 +28,19 @@
 	idleCopyPeriod = time.Second
 )
 
-// runConfiguration follows the configuration in the store while this instance does not get it from
-// a reader.
+// isConfigurationInView reports whether views of the store include the configuration, which saves the
+// calls that watch it. A large one would delay the list of backend servers on a slow link.
+func (s *Site) isConfigurationInView() bool {
+	return s.configurationBytes.Load() <= maxViewConfigurationBytes
+}
+
+// runConfiguration follows a large configuration in the store while this instance does not get it
+// from a reader.
 func (s *Site) runConfiguration(ctx context.Context) error {
 	var revision uint64
 	wait := time.Duration(configurationWaitShare * float64(milliseconds(s.settings.LeavingMS)))
 	for ctx.Err() == nil {
-		if s.followsReader.Load() {
+		if s.followsReader.Load() || s.isConfigurationInView() {
 			if err := clock.Sleep(ctx, readerQueryPeriod); err != nil {
 				return err
 			}
--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -62,9 +62,12 @@
 	Remove(ctx context.Context, key string, ifRevision uint64) error
 }
 
-// View is a snapshot of the platform's store without the configuration.
+// View is a snapshot of the platform's store.
 type View struct {
-	Servers []directory.Server
+	// Configuration is the newest published configuration, encoded, if it was asked for. It is empty
+	// before the first one.
+	Configuration []byte
+	Servers       []directory.Server
 	// Own holds the entries that entry instances write.
 	Own []platform.Entry
 	// Leases lists the names of the leases that are held.
@@ -74,12 +77,12 @@
 }
 
 // Viewer reads the platform's store. One read per poll covers everything that an entry instance
-// follows but the configuration, which may be large and changes rarely. Unlike a watch, polling
-// misses nothing when the store compacts its history.
+// follows, but for a large configuration. Unlike a watch, polling misses nothing when the store
+// compacts its history.
 type Viewer interface {
 	// View fails if nothing arrives for some time. It is not bounded otherwise, since its time
 	// depends on the link.
-	View(ctx context.Context) (View, error)
+	View(ctx context.Context, withConfiguration bool) (View, error)
 	// Configuration returns the newest published configuration, encoded, if it was written after
 	// a revision, and waits for up to wait until it is. It is empty before the first one. The
 	// revision that it returns is for the next call; 0 reads it at once.
@@ -155,8 +158,10 @@
 	archive      *distribution.Archive
 	distribution *distribution.Table
 	announced    chan struct{}
-	// configurationDigest is the digest of the encoded configuration in force.
+	// configurationDigest is the digest of the encoded configuration in force, and
+	// configurationBytes the size of the last one that was received.
 	configurationDigest atomic.Uint64
+	configurationBytes  atomic.Int64
 	// followsReader is set while readers reply, so that this instance need not read the store.
 	followsReader atomic.Bool
 	relay         *relay.Relay
--- a/entry/site/views.go
+++ b/entry/site/views.go
@@ -248,7 +248,7 @@
 	at := clock.Boot()
 	limited, cancel := context.WithTimeout(ctx, milliseconds(s.settings.LeavingMS))
 	defer cancel()
-	view, err := s.platform.Viewer.View(limited)
+	view, err := s.platform.Viewer.View(limited, s.isConfigurationInView())
 	if ctx.Err() != nil {
 		return false
 	}
@@ -258,6 +258,9 @@
 	if err != nil {
 		return false
 	}
+	if len(view.Configuration) > 0 {
+		s.adopt(view.Configuration, "store")
+	}
 	s.setEntries(view.Own)
 	leases := append([]string{}, view.Leases...) // not nil: for peers nil means not sent
 	v.apply(storeView{
