--- a/review/common/harness.go
+++ b/review/common/harness.go
@@ -50,22 +50,25 @@
 	began                      time.Time
 	mu                         sync.Mutex
 	record                     *os.File
-	instances                  []*Instance
+	processes                  []*os.Process
 	backends                   []*fakeplatform.Backend
 	nextID                     atomic.Int64
 }
 
 // Instance is one process of an entry instance.
 type Instance struct {
-	Name, Callers, Ready string
-	settings             string
-	command              *exec.Cmd
+	Name, Callers, Ready, Peers string
+	settings                    string
+	command                     *exec.Cmd
 	// Exited is closed when the process has ended.
 	Exited chan struct{}
 }
 
-// Start starts the platform's stand-ins.
-func Start() *Harness {
+// Start starts the project's own stand-ins of the platform.
+func Start() *Harness { return StartWith(nil, nil) }
+
+// StartWith starts other stand-ins of the platform's store and cloud API, unless they are nil.
+func StartWith(store, cloud http.Handler) *Harness {
 	h := &Harness{Store: fakeplatform.NewStore(), Cloud: fakeplatform.NewCloud(), Trouble: os.Getenv("TROUBLE") != "0", began: time.Now()}
 	h.Ctx, h.cancel = context.WithCancel(context.Background())
 	var err error
@@ -73,9 +76,15 @@
 	h.must(err)
 	h.folder, err = os.MkdirTemp("", "review")
 	h.must(err)
-	h.storeAddress, err = fakeplatform.Serve(h.Ctx, h.Store)
+	if store == nil {
+		store = h.Store
+	}
+	if cloud == nil {
+		cloud = h.Cloud
+	}
+	h.storeAddress, err = fakeplatform.Serve(h.Ctx, store)
 	h.must(err)
-	h.cloudAddress, err = fakeplatform.Serve(h.Ctx, h.Cloud)
+	h.cloudAddress, err = fakeplatform.Serve(h.Ctx, cloud)
 	h.must(err)
 	h.Log("trouble: %t", h.Trouble)
 	time.AfterFunc(maxRunTime, func() { h.must(errors.New("the case takes too long")) })
@@ -102,9 +111,8 @@
 // Finish ends all processes and the run.
 func (h *Harness) Finish(code int) {
 	h.Log("exit code %d", code)
-	for _, instance := range h.instances {
-		_ = instance.command.Process.Kill()
-		<-instance.Exited
+	for _, process := range h.processes {
+		_ = process.Kill()
 	}
 	h.cancel()
 	if h.folder != "" {
@@ -164,12 +172,20 @@
 
 // Prepare writes the settings of an entry instance, with the bounds of a small deployment.
 func (h *Harness) Prepare(name, zone string, seeds ...string) *Instance {
-	instance := &Instance{Name: name, Callers: h.FreeAddress(), Ready: h.FreeAddress(), settings: filepath.Join(h.folder, name+".json")}
-	peers := h.FreeAddress()
+	instance := &Instance{
+		Name: name, Callers: h.FreeAddress(), Ready: h.FreeAddress(), Peers: h.FreeAddress(),
+		settings: filepath.Join(h.folder, name+".json"),
+	}
+	var seedPeers []string
+	for _, seed := range append([]string{instance.Peers}, seeds...) {
+		if seed != "" {
+			seedPeers = append(seedPeers, seed)
+		}
+	}
 	settings, err := json.Marshal(map[string]any{
 		"instance": name, "region": "r", "failure_domain": zone, "failure_domains": []string{"a", "b", "c", "d"},
-		"callers": instance.Callers, "ready": instance.Ready, "peers": peers, "metrics": h.FreeAddress(),
-		"seed_peers": append([]string{peers}, seeds...), "store": h.storeAddress, "cloud": h.cloudAddress,
+		"callers": instance.Callers, "ready": instance.Ready, "peers": instance.Peers, "metrics": h.FreeAddress(),
+		"seed_peers": seedPeers, "store": h.storeAddress, "cloud": h.cloudAddress,
 		"memory_mb": 284, "grace_s": 8, "lease_ms": 3000, "leaving_ms": 2000,
 		"retry": map[string]any{"ratio": 0.2, "window_s": 10, "allowance": 56},
 		"quota": map[string]any{"window_s": 8, "overrun": 0.1, "slack": 190000},
@@ -191,7 +207,7 @@
 	h.must(command.Start())
 	exited := make(chan struct{})
 	instance.command, instance.Exited = command, exited
-	h.instances = append(h.instances, instance)
+	h.processes = append(h.processes, command.Process)
 	h.Log("%s started", instance.Name)
 	go func() {
 		err := command.Wait()
@@ -200,6 +216,16 @@
 	}()
 }
 
+// Ended reports whether the last process of an entry instance has ended.
+func (i *Instance) Ended() bool {
+	select {
+	case <-i.Exited:
+		return true
+	default:
+		return false
+	}
+}
+
 // Signal sends a signal to the process of an entry instance.
 func (h *Harness) Signal(instance *Instance, signal syscall.Signal) {
 	h.Log("%s gets %v", instance.Name, signal)
