--- a/review/build.sh
+++ b/review/build.sh
@@ -6,6 +6,6 @@
 trap 'rm -rf "$folder"' EXIT
 for server in review/[1-5]/server; do
 	[ -f "$server/main.go" ] || continue
-	cp "$server/main.go" review/common/harness.go "$folder/"
-	go build -o "$server/main" "$folder/main.go" "$folder/harness.go"
+	cp "$server/main.go" review/common/*.go "$folder/"
+	go build -o "$server/main" "$folder"/*.go
 done
