--- a/review/common/harness.go
+++ b/review/common/harness.go
@@ -172,6 +172,11 @@
 
 // Prepare writes the settings of an entry instance, with the bounds of a small deployment.
 func (h *Harness) Prepare(name, zone string, seeds ...string) *Instance {
+	return h.PrepareWith(name, zone, h.storeAddress, seeds...)
+}
+
+// PrepareWith does the same for an instance that reaches the store at another address.
+func (h *Harness) PrepareWith(name, zone, store string, seeds ...string) *Instance {
 	instance := &Instance{
 		Name: name, Callers: h.FreeAddress(), Ready: h.FreeAddress(), Peers: h.FreeAddress(),
 		settings: filepath.Join(h.folder, name+".json"),
@@ -185,7 +190,7 @@
 	settings, err := json.Marshal(map[string]any{
 		"instance": name, "region": "r", "failure_domain": zone, "failure_domains": []string{"a", "b", "c", "d"},
 		"callers": instance.Callers, "ready": instance.Ready, "peers": instance.Peers, "metrics": h.FreeAddress(),
-		"seed_peers": seedPeers, "store": h.storeAddress, "cloud": h.cloudAddress,
+		"seed_peers": seedPeers, "store": store, "cloud": h.cloudAddress,
 		"memory_mb": 284, "grace_s": 8, "lease_ms": 3000, "leaving_ms": 2000,
 		"retry": map[string]any{"ratio": 0.2, "window_s": 10, "allowance": 56},
 		"quota": map[string]any{"window_s": 8, "overrun": 0.1, "slack": 190000},
