--- a/review/common/drill.go
+++ b/review/common/drill.go
@@ -430,6 +430,7 @@
 
 // finish prints and records what breaks the rule, and ends the run.
 func (c *drillCase) finish(broken []string) {
+	c.LogRuns()
 	for _, one := range broken {
 		c.Log("ONE: %s", one)
 	}
--- a/review/common/harness.go
+++ b/review/common/harness.go
@@ -14,6 +14,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"sync"
 	"sync/atomic"
@@ -87,6 +88,9 @@
 	h.cloudAddress, err = fakeplatform.Serve(h.Ctx, cloud)
 	h.must(err)
 	h.Log("trouble: %t", h.Trouble)
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	go func() { h.must(fmt.Errorf("stopped by %v", <-signals)) }()
 	time.AfterFunc(maxRunTime, func() { h.must(errors.New("the case takes too long")) })
 	return h
 }
