Receive signals from the start of a process until its exit

Callers lost their streams when a process got SIGHUP while it finished its requests after SIGTERM: the reload loop released the signal when the shutdown began, and the runtime's default action ends the process. The same holds for SIGHUP before the loop began and at any time in papayaport, for SIGQUIT, for a second SIGTERM while logs are flushed, and for SIGPIPE once the reader of the log is gone.

The package signals receives them for the lifetime of each program; a constructor ignores SIGHUP until the Go runtime has started.

--- a/ctl/command/command.go
+++ b/ctl/command/command.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	code := command.Run(os.Args[1:], os.Stdout, os.Stderr)
+//	code := command.Run(ctx, os.Args[1:], os.Stdout, os.Stderr)
 //
 // A command is a struct whose tags describe its arguments and whose Run method executes it. A
 // new command needs a file and an entry in the table.
@@ -70,8 +70,10 @@
 	Timeout   time.Duration `default:"20s" help:"Time-out of a request."`
 }
 
-// environment holds the options and output streams of a command.
+// environment holds the context, options and output streams of a command.
 type environment struct {
+	// ctx ends when a signal interrupts the command.
+	ctx     context.Context
 	options Options
 	out     io.Writer
 	err     io.Writer
@@ -94,8 +96,8 @@
 // exitRequest is the panic value that carries the exit code when kong exits, such as for --help.
 type exitRequest int
 
-// Run runs one command and returns its exit code.
-func Run(args []string, out, errOut io.Writer) (code int) {
+// Run runs one command, whose calls end with ctx, and returns its exit code.
+func Run(ctx context.Context, args []string, out, errOut io.Writer) (code int) {
 	defer func() {
 		if end := recover(); end != nil {
 			requested, ok := end.(exitRequest)
@@ -105,7 +107,7 @@
 			code = int(requested)
 		}
 	}()
-	env := &environment{out: out, err: errOut}
+	env := &environment{ctx: ctx, out: out, err: errOut}
 	parser, err := newParser(env)
 	if err != nil {
 		return env.exitCode(failed(BadUse, "%v", err))
@@ -211,7 +213,7 @@
 }
 
 func (e *environment) context() (context.Context, context.CancelFunc) {
-	return context.WithTimeout(context.Background(), e.options.Timeout)
+	return context.WithTimeout(e.ctx, e.options.Timeout)
 }
 
 // printMessage prints a line with the program's name in front.
--- a/ctl/command/command_test.go
+++ b/ctl/command/command_test.go
@@ -95,7 +95,7 @@
 	t.Setenv("PAPAYAPORT_ADDRESS", server.URL)
 	t.Setenv("PAPAYAPORT_TOKEN", token)
 	var stdout, stderr bytes.Buffer
-	code = command.Run(args, &stdout, &stderr)
+	code = command.Run(t.Context(), args, &stdout, &stderr)
 	return code, stdout.String(), stderr.String()
 }
 
--- a/ctl/command/requests_test.go
+++ b/ctl/command/requests_test.go
@@ -28,7 +28,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			var out, errOut bytes.Buffer
-			require.Equal(t, test.code, command.Run(append([]string{"requests"}, test.args...), &out, &errOut), errOut.String())
+			require.Equal(t, test.code, command.Run(t.Context(), append([]string{"requests"}, test.args...), &out, &errOut), errOut.String())
 			for _, text := range test.contains {
 				require.Contains(t, out.String(), text)
 			}
@@ -42,7 +42,7 @@
 // TestRequestsAsJSON guards against rows that scripts can't find.
 func TestRequestsAsJSON(t *testing.T) {
 	var out, errOut bytes.Buffer
-	require.Equal(t, command.Done, command.Run([]string{"requests", "--json", "--by", "reason", recordedLog}, &out, &errOut), errOut.String())
+	require.Equal(t, command.Done, command.Run(t.Context(), []string{"requests", "--json", "--by", "reason", recordedLog}, &out, &errOut), errOut.String())
 	var document struct {
 		Requests int              `json:"requests"`
 		ByReason []map[string]any `json:"by_reason"`
--- a/ctl/main.go
+++ b/ctl/main.go
@@ -5,6 +5,9 @@
 	"os"
 
 	"papayaport.dev/ctl/command"
+	"papayaport.dev/serving/process/signals"
 )
 
-func main() { os.Exit(command.Run(os.Args[1:], os.Stdout, os.Stderr)) }
+func main() {
+	os.Exit(command.Run(signals.New().StopOnHangUp().Context(), os.Args[1:], os.Stdout, os.Stderr))
+}
--- a/entry/command/command.go
+++ b/entry/command/command.go
@@ -2,7 +2,7 @@
 //
 // # Usage
 //
-//	os.Exit(command.Main(os.Args[1:], os.Stdout, os.Stderr))
+//	os.Exit(command.Main(signals.New(), os.Args[1:], os.Stdout, os.Stderr))
 package command
 
 import (
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"papayaport.dev/serving/process/settings"
+	"papayaport.dev/serving/process/signals"
 )
 
 // Exit codes.
@@ -30,11 +31,14 @@
 	Version       version       `cmd:"" help:"Print the version."`
 }
 
-// streams holds the standard output and error streams of commands.
-type streams struct{ out, err io.Writer }
+// streams holds the signals of the process and the standard output and error streams of commands.
+type streams struct {
+	signals  *signals.Signals
+	out, err io.Writer
+}
 
-// Main runs one command and returns the exit code.
-func Main(args []string, out, errOut io.Writer) int {
+// Main runs one command with the signals of the process and returns the exit code.
+func Main(received *signals.Signals, args []string, out, errOut io.Writer) int {
 	var table commands
 	parser, err := kong.New(&table,
 		kong.Name("papayaport"),
@@ -51,7 +55,7 @@
 		fmt.Fprintln(errOut, "papayaport:", err)
 		return exitUsage
 	}
-	if err := chosen.Run(&streams{out, errOut}); err != nil {
+	if err := chosen.Run(&streams{received, out, errOut}); err != nil {
 		fmt.Fprintln(errOut, "papayaport:", err)
 		return exitFailed
 	}
--- a/entry/command/command_test.go
+++ b/entry/command/command_test.go
@@ -36,7 +36,7 @@
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
 			var out, errOut bytes.Buffer
-			require.Equal(t, test.code, Main(test.args, &out, &errOut), errOut.String())
+			require.Equal(t, test.code, Main(nil, test.args, &out, &errOut), errOut.String())
 			require.Contains(t, out.String(), test.out)
 			for _, text := range test.err {
 				require.Contains(t, errOut.String(), text)
--- a/entry/command/run.go
+++ b/entry/command/run.go
@@ -1,11 +1,6 @@
 package command
 
 import (
-	"context"
-	"os"
-	"os/signal"
-	"syscall"
-
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
@@ -21,7 +16,8 @@
 	Policy    string `help:"Routing policy instead of the file's."`
 }
 
-// Run serves until SIGTERM or SIGINT and then shuts down gracefully.
+// Run serves until a signal requests a stop and then shuts down gracefully. SIGHUP reloads the log
+// level; other settings need a restart.
 func (r *run) Run(out *streams) error {
 	set, err := readSettings(r.Settings, out)
 	if err != nil {
@@ -36,9 +32,24 @@
 	if err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	return d.Run(ctx)
+	go r.reload(log, out)
+	return d.Run(out.signals.Context())
+}
+
+// reload reloads the log level at each SIGHUP until the process exits, also during a shutdown.
+func (r *run) reload(log *logrus.Logger, out *streams) {
+	for range out.signals.HangUps() {
+		set, err := readSettings(r.Settings, out)
+		if err != nil {
+			log.WithError(err).Error("entry: reload of settings failed; keeping the previous settings")
+			continue
+		}
+		r.overrideSettings(&set)
+		if level, err := logrus.ParseLevel(set.Log.Level); err == nil {
+			log.SetLevel(level)
+		}
+		log.WithField("log_level", set.Log.Level).Info("entry: settings reloaded")
+	}
 }
 
 func (r *run) overrideSettings(set *settings.Settings) {
--- a/entry/main.go
+++ b/entry/main.go
@@ -5,6 +5,7 @@
 	"os"
 
 	"papayaport.dev/entry/command"
+	"papayaport.dev/serving/process/signals"
 )
 
-func main() { os.Exit(command.Main(os.Args[1:], os.Stdout, os.Stderr)) }
+func main() { os.Exit(command.Main(signals.New(), os.Args[1:], os.Stdout, os.Stderr)) }
--- a/soak/command/command.go
+++ b/soak/command/command.go
@@ -2,7 +2,7 @@
 //
 // # Usage
 //
-//	os.Exit(command.Main(os.Args[1:], os.Stdout, os.Stderr))
+//	os.Exit(command.Main(ctx, os.Args[1:], os.Stdout, os.Stderr))
 package command
 
 import (
@@ -12,11 +12,9 @@
 	"fmt"
 	"io"
 	"os"
-	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/alecthomas/kong"
@@ -52,8 +50,8 @@
 	out io.Writer
 }
 
-// Main runs one command and returns the exit code.
-func Main(args []string, out, errOut io.Writer) int {
+// Main runs one command until ctx ends and returns the exit code.
+func Main(ctx context.Context, args []string, out, errOut io.Writer) int {
 	var table commands
 	parser, err := kong.New(&table, kong.Name("soak"),
 		kong.Description("Runs seeded fault injection tests against real entry instances."), kong.Writers(out, errOut))
@@ -66,8 +64,6 @@
 		fmt.Fprintln(errOut, "soak:", err)
 		return exitUsage
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
 	if err := chosen.Run(&output{ctx: ctx, out: out}); err != nil {
 		fmt.Fprintln(errOut, "soak:", err)
 		return exitFailed
--- a/soak/main.go
+++ b/soak/main.go
@@ -4,7 +4,10 @@
 import (
 	"os"
 
+	"papayaport.dev/serving/process/signals"
 	"papayaport.dev/soak/command"
 )
 
-func main() { os.Exit(command.Main(os.Args[1:], os.Stdout, os.Stderr)) }
+func main() {
+	os.Exit(command.Main(signals.New().StopOnHangUp().Context(), os.Args[1:], os.Stdout, os.Stderr))
+}
--- a/standin/command/command.go
+++ b/standin/command/command.go
@@ -45,7 +45,7 @@
 	parsed.FatalIfErrorf(parsed.Run())
 }
 
-// untilSignal returns a context that ends at SIGINT or SIGTERM.
+// untilSignal returns a context that ends at SIGINT, SIGTERM or SIGQUIT.
 func untilSignal(ctx context.Context) (context.Context, context.CancelFunc) {
-	return signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
+	return signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM, syscall.SIGQUIT)
 }
--- a/standin/command/run.go
+++ b/standin/command/run.go
@@ -20,10 +20,10 @@
 	Reclaim(leaveIn time.Duration)
 }
 
-// runBackend runs a backend server until SIGINT, until grace has passed after SIGTERM, or until the
+// runBackend runs a backend server until SIGINT or SIGQUIT, until grace has passed after SIGTERM, or until the
 // time of a reclaim notice has passed. Open connections are then closed at once.
 func runBackend(ctx context.Context, address string, b backend, grace time.Duration) error {
-	ctx, stop := signal.NotifyContext(ctx, os.Interrupt)
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGQUIT)
 	defer stop()
 	terminated := make(chan os.Signal, 1)
 	signal.Notify(terminated, syscall.SIGTERM)
--- a/standin/launch/process.go
+++ b/standin/launch/process.go
@@ -90,8 +90,8 @@
 	}
 }
 
-// signal sends a signal to a process that has not exited.
-func (p *Process) signal(sig syscall.Signal) error {
+// Signal sends a signal to a process that has not exited.
+func (p *Process) Signal(sig syscall.Signal) error {
 	if !p.Running() {
 		return errors.Errorf("%s has exited", p.Name)
 	}
@@ -100,7 +100,7 @@
 
 // Kill kills the process and waits until it has exited.
 func (p *Process) Kill() error {
-	if err := p.signal(syscall.SIGKILL); err != nil {
+	if err := p.Signal(syscall.SIGKILL); err != nil {
 		return err
 	}
 	<-p.Done()
@@ -108,13 +108,13 @@
 }
 
 // Freeze stops the process with SIGSTOP until Resume.
-func (p *Process) Freeze() error { return p.signal(syscall.SIGSTOP) }
+func (p *Process) Freeze() error { return p.Signal(syscall.SIGSTOP) }
 
 // Resume continues a frozen process.
-func (p *Process) Resume() error { return p.signal(syscall.SIGCONT) }
+func (p *Process) Resume() error { return p.Signal(syscall.SIGCONT) }
 
 // Terminate sends SIGTERM for a graceful shutdown and does not wait for its end.
-func (p *Process) Terminate() error { return p.signal(syscall.SIGTERM) }
+func (p *Process) Terminate() error { return p.Signal(syscall.SIGTERM) }
 
 // Wait waits until the process has exited.
 func (p *Process) Wait(ctx context.Context) error {
--- a/standin/load/command.go
+++ b/standin/load/command.go
@@ -25,7 +25,7 @@
 
 // Run sends the load and prints a Report as JSON.
 func (c *Command) Run(ctx context.Context) error {
-	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM, syscall.SIGQUIT)
 	defer stop()
 	shape, err := Get(c.Shape)
 	if err != nil {
--- a/standin/main.go
+++ b/standin/main.go
@@ -2,6 +2,12 @@
 // measurements.
 package main
 
-import "papayaport.dev/standin/command"
+import (
+	"papayaport.dev/serving/process/signals"
+	"papayaport.dev/standin/command"
+)
 
-func main() { command.Main() }
+func main() {
+	signals.New() // keeps all signals from their default actions; each command says which ones stop it
+	command.Main()
+}
--- a/standin/measure/command.go
+++ b/standin/measure/command.go
@@ -28,7 +28,7 @@
 
 // Run runs the comparison and prints its report.
 func (c *Command) Run(ctx context.Context) error {
-	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM, syscall.SIGQUIT)
 	defer stop()
 	o := Options{
 		BinDir: c.Bin, Policies: c.policies(), Shapes: c.Shapes, Seeds: c.Seeds, Duration: c.Duration,
