Hold leases and fencing tokens in one generation of the store

After the store had come back from an older copy, the duties went on with a lower fencing token than the platform had seen: the token was the revision at which the lease was created, and revisions go back. Nothing read the era of the store.

Revisions and tokens now hold the era, responses of earlier eras are dropped, conditions on their revisions are refused, and leases end with their era. They are granted again once holders of the era before must have stopped, which a marker in the store tells instances that start later.

--- a/entry/site/duties.go
+++ b/entry/site/duties.go
@@ -17,7 +17,7 @@
 
 const (
 	// reportsKey is the key of the usage sums that were fixed for reports.
-	reportsKey = "papayaport/usage"
+	reportsKey = ownPrefix + "usage"
 	// dutyPeriod is the interval between rounds of the duties.
 	dutyPeriod = 500 * time.Millisecond
 	// reportAfter is the delay after a window's end before its counts are summed up, so that
@@ -47,6 +47,7 @@
 func (s *Site) runDuties(ctx context.Context) error {
 	var d duty
 	return clock.Every(ctx, dutyPeriod, func(ctx context.Context, _ time.Time) {
+		s.observeGeneration()
 		fencing, held := s.leases.Held(dutyLease)
 		if !held || s.relay.Draining() {
 			return
@@ -67,6 +68,7 @@
 // stillHolds reports whether this instance still holds the lease with the given fencing token.
 // It is checked right before each external call, since earlier calls may have taken long.
 func (s *Site) stillHolds(fencing uint64) bool {
+	s.observeGeneration()
 	now, held := s.leases.Held(dutyLease)
 	return held && now == fencing
 }
--- a/entry/site/duties_test.go
+++ b/entry/site/duties_test.go
@@ -24,12 +24,22 @@
 	entries  map[string]platform.Entry
 	revision uint64
 	calls    map[string]int
+	// generation is the one that the store is in.
+	generation uint64
 }
 
 func newFakeStore() *fakeStore {
 	return &fakeStore{entries: map[string]platform.Entry{}, calls: map[string]int{}}
 }
 
+// Generation implements Store.
+func (f *fakeStore) Generation() uint64 { return f.generation }
+
+// AdvanceGeneration implements Store.
+func (f *fakeStore) AdvanceGeneration(generation uint64) {
+	f.generation = max(f.generation, generation)
+}
+
 // Get implements Store.
 func (f *fakeStore) Get(_ context.Context, key string) (platform.Entry, error) {
 	f.calls["get"]++
--- a/entry/site/record.go
+++ b/entry/site/record.go
@@ -21,7 +21,7 @@
 
 const (
 	// entriesPrefix is the key prefix of the records of entry instances.
-	entriesPrefix = "papayaport/entries/"
+	entriesPrefix = ownPrefix + "entries/"
 	// recordPeriod is the interval of checks for ended usage windows.
 	recordPeriod = 250 * time.Millisecond
 	// flushTimeout bounds the last write of a process; it fits into graceMargin.
--- a/entry/site/serve.go
+++ b/entry/site/serve.go
@@ -136,6 +136,11 @@
 	gauge("entries", func() float64 { return float64(s.entries()) })
 	gauge("log_lines_dropped_total", func() float64 { return float64(s.lines.Dropped()) })
 	gauge("backend_servers", func() float64 { return float64(len(s.backends())) })
+	gauge("store_generation", func() float64 {
+		s.generation.mu.Lock()
+		defer s.generation.mu.Unlock()
+		return float64(s.generation.observed)
+	})
 	gauge("quarantined_prompt_parts", func() float64 {
 		parts, _ := s.quarantine.Quarantined(time.Now())
 		return float64(parts)
--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -60,6 +60,13 @@
 	Put(ctx context.Context, key string, value []byte, ifRevision uint64) (platform.Entry, error)
 	// Remove removes a key that has a revision.
 	Remove(ctx context.Context, key string, ifRevision uint64) error
+	// Generation returns the number of the newest generation of the store that this instance has heard
+	// of. The store begins a new one when it comes back without its latest acknowledged writes;
+	// revisions and fencing tokens of a later one are higher. A store that never does so returns 0.
+	Generation() uint64
+	// AdvanceGeneration records a generation that another instance has heard of. Responses of earlier
+	// ones are then errors.
+	AdvanceGeneration(generation uint64)
 }
 
 // View is a snapshot of the platform's store.
@@ -74,6 +81,8 @@
 	Leases []string
 	// Orders are the operators' roll-out orders. An order that can't be decoded has no To.
 	Orders []rollout.Order
+	// Generation is the generation of the store that was read.
+	Generation uint64
 }
 
 // Viewer reads the platform's store. One read per poll covers everything that an entry instance
@@ -181,6 +190,8 @@
 	peers    *peer.Client
 	exchange *exchange.Exchange
 	leases   *lease.Leases
+	// generation is that of the store.
+	generation generationState
 
 	// mu guards servers, records and listed. Nothing is locked under it.
 	mu      sync.Mutex
@@ -260,7 +271,7 @@
 	s.exchange = exchange.New(exchange.Parts{
 		Members: s.members, Peers: s.peers, Update: s.updateGossip, Apply: s.applyChange, Log: s.logger("exchange"),
 	})
-	s.leases = lease.New(expiringLeases{p.Store}, set.Instance+"/"+formatIncarnation(s.incarnation()), s.wantedLeases, s.leaseRank,
+	s.leases = lease.New(settledLeases{expiringLeases{p.Store}, s}, set.Instance+"/"+formatIncarnation(s.incarnation()), s.wantedLeases, s.leaseRank,
 		s.leaseTTL(), clock.Boot, seeded())
 	parts := relay.Dependencies{
 		Versions: &s.keeper, Routes: s.routes, Limiter: s, AdmissionObserver: s.intake, BackpressureObserver: s, RequestGuard: s, Budget: s.budget, Pool: s.pool, Usage: s,
--- a/entry/site/views.go
+++ b/entry/site/views.go
@@ -55,6 +55,8 @@
 
 // storeView is the last view, read from the store or from a peer.
 type storeView struct {
+	// generation is that of the store.
+	generation uint64
 	// at is when the store was read, by clock.Boot.
 	at      time.Time
 	servers []directory.Server
@@ -130,6 +132,9 @@
 	// Servers, and ServersDigest is the digest of the list.
 	Delta         *directory.Delta `cbor:"10,keyasint,omitempty"`
 	ServersDigest uint64           `cbor:"11,keyasint,omitempty"`
+	// Generation is the generation of the store that was read, 0 for one without generations and
+	// from instances that run an older version of the program.
+	Generation uint64 `cbor:"12,keyasint,omitempty"`
 }
 
 // digest sets the digests.
@@ -157,7 +162,7 @@
 		return nil
 	}
 	answer := &viewReply{
-		AgeMS: clock.Boot().Sub(held.at).Milliseconds(), SameServers: held.serversDigest == request.Servers, Leases: held.leases,
+		AgeMS: clock.Boot().Sub(held.at).Milliseconds(), SameServers: held.serversDigest == request.Servers, Leases: held.leases, Generation: held.generation,
 		Quarantine: s.quarantineFor(request.Quarantine),
 	}
 	if version := s.keeper.Current(); version != nil {
@@ -255,7 +260,7 @@
 	if s.dependencies.record(s.logger("site"), "store", err) {
 		s.leases.StoreRecovered()
 	}
-	if err != nil {
+	if err != nil || view.Generation != s.observeGeneration() {
 		return false
 	}
 	if len(view.Configuration) > 0 {
@@ -264,7 +269,7 @@
 	s.setEntries(view.Own)
 	leases := append([]string{}, view.Leases...) // not nil: for peers nil means not sent
 	v.apply(storeView{
-		at: at, servers: view.Servers, own: view.Own, leases: leases, rollouts: rolloutsOf(view),
+		at: at, generation: view.Generation, servers: view.Servers, own: view.Own, leases: leases, rollouts: rolloutsOf(view),
 	})
 	v.ownReceivedAt = at
 	return true
@@ -301,6 +306,12 @@
 		if response.View == nil {
 			continue
 		}
+		s.platform.Store.AdvanceGeneration(response.View.Generation)
+		if now := s.observeGeneration(); response.View.Generation > 0 && response.View.Generation < now {
+			s.logger("directory").WithFields(logrus.Fields{"peer": reader.Instance, "generation": response.View.Generation, "present": now}).
+				Debug("directory: view of the reader is of an earlier generation of the store")
+			continue
+		}
 		s.mergeQuarantine(response.View.Quarantine)
 		s.announce(distribution.Source{Address: reader.PeerAddress, Version: response.View.Version, Near: reader.FailureDomain == s.settings.FailureDomain})
 		age := time.Duration(response.View.AgeMS) * time.Millisecond
@@ -318,7 +329,7 @@
 // applyReply applies a reader's reply, with the unchanged parts taken from the view held before.
 func (v *viewPoller) applyReply(held *storeView, answer *viewReply, age time.Duration) {
 	view := *held
-	view.at = clock.Boot().Add(-age)
+	view.at, view.generation = clock.Boot().Add(-age), answer.Generation
 	switch {
 	case answer.SameServers:
 	case answer.Delta != nil:
@@ -330,7 +341,7 @@
 		view.rollouts = *answer.Rollouts
 	}
 	view.leases = answer.Leases
-	if view.at.Before(held.at) {
+	if view.at.Before(held.at) && view.generation == held.generation {
 		return // the view held is newer
 	}
 	if len(answer.Own) > 0 {
--- a/serving/process/lease/lease.go
+++ b/serving/process/lease/lease.go
@@ -127,6 +127,16 @@
 	}
 }
 
+// Invalidate ends all leases at once, since the store has lost acknowledged writes. They are acquired
+// again like new ones.
+func (l *Leases) Invalidate() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, stateMachine := range l.stateMachines {
+		stateMachine.Invalidate(l.clock())
+	}
+}
+
 // Observe records whether a lease was held by any candidate when it was read from the store.
 func (l *Leases) Observe(name string, held bool) {
 	l.mu.Lock()
--- a/serving/process/lease/state_machine.go
+++ b/serving/process/lease/state_machine.go
@@ -79,9 +79,11 @@
 	// Random is the source of the jitter of retries.
 	Random *rand.Rand
 
-	fencing    uint64    // fencing token, 0 while the lease is not held
-	heldUntil  time.Time // end of the lease minus the margin
-	pending    Call
+	fencing   uint64    // fencing token, 0 while the lease is not held
+	heldUntil time.Time // end of the lease minus the margin
+	pending   Call
+	// invalid is set if the lease was invalidated while the call was pending.
+	invalid    bool
 	sentAt     time.Time
 	nextCallAt time.Time
 	backoff    time.Duration
@@ -148,11 +150,13 @@
 
 // HandleResult handles the result of the requested call.
 func (m *StateMachine) HandleResult(now time.Time, result Result) {
-	call := m.pending
-	m.pending = NoCall
+	call, invalid := m.pending, m.invalid
+	m.pending, m.invalid = NoCall, false
 	switch {
 	case call == NoCall:
 		return
+	case invalid:
+		m.clear(now)
 	case call == ReleaseCall:
 		m.clear(now.Add(m.TTL))
 	case result.Outcome == Granted:
@@ -208,6 +212,14 @@
 	return time.Duration(m.Random.Int64N(int64(d)/2 + 1))
 }
 
+// Invalidate ends the lease at once, since the store may have lost it. The result of a pending call
+// is ignored.
+func (m *StateMachine) Invalidate(now time.Time) {
+	m.clear(now)
+	m.freeSince = time.Time{}
+	m.invalid = m.pending != NoCall
+}
+
 // Held returns the fencing token and whether the lease is held. The holder calls it again
 // immediately before each action.
 func (m *StateMachine) Held(now time.Time) (uint64, bool) {
--- a/serving/process/lease/state_machine_test.go
+++ b/serving/process/lease/state_machine_test.go
@@ -311,3 +311,25 @@
 	require.Less(t, taken, 8*time.Second)
 	require.Less(t, calls, 64, "not all of them")
 }
+
+// TestInvalidate guards against a lease that is held, or granted by a call sent before, after the
+// store has lost it.
+func TestInvalidate(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	m := &lease.StateMachine{TTL: 3 * time.Second, Random: rand.New(rand.NewPCG(1, 1))}
+	require.Equal(t, lease.AcquireCall, m.Step(now, 0, true).Call)
+	m.HandleResult(now, lease.Result{Outcome: lease.Granted, Fencing: 7})
+	now = now.Add(time.Second)
+	require.Equal(t, lease.RenewCall, m.Step(now, 0, true).Call)
+	m.Invalidate(now)
+	_, held := m.Held(now)
+	require.False(t, held)
+	m.HandleResult(now, lease.Result{Outcome: lease.Granted, Fencing: 7})
+	_, held = m.Held(now)
+	require.False(t, held, "the result of a call from before")
+	require.Equal(t, lease.AcquireCall, m.Step(now, 0, true).Call)
+	m.HandleResult(now, lease.Result{Outcome: lease.Granted, Fencing: 9})
+	fencing, held := m.Held(now)
+	require.True(t, held)
+	require.Equal(t, uint64(9), fencing)
+}
--- a/standin/fakeplatform/outside.go
+++ b/standin/fakeplatform/outside.go
@@ -68,11 +68,13 @@
 
 // Store is the platform's key-value store. Its methods inject faults and record writes.
 type Store struct {
-	mu            sync.Mutex
-	revision      uint64
-	items         map[string]Item
-	leases        map[int64]lease
-	lastLease     int64
+	mu        sync.Mutex
+	revision  uint64
+	items     map[string]Item
+	leases    map[int64]lease
+	lastLease int64
+	// era rises with each Restore and is sent in all responses.
+	era           int
 	unavailable   map[string]bool
 	answersToLose int
 	delay         time.Duration
@@ -94,7 +96,7 @@
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{items: map[string]Item{}, leases: map[int64]lease{}, unavailable: map[string]bool{}, calls: map[string]int{}, writes: map[string][]Write{}, revision: 1, changed: make(chan struct{})}
+	return &Store{items: map[string]Item{}, leases: map[int64]lease{}, unavailable: map[string]bool{}, calls: map[string]int{}, writes: map[string][]Write{}, revision: 1, changed: make(chan struct{}), era: 1}
 }
 
 // Put writes a key on behalf of an operator or a backend server.
@@ -229,13 +231,14 @@
 	if lose {
 		s.answersToLose--
 	}
-	delay := s.delay
+	delay, era := s.delay, s.era
 	s.mu.Unlock()
 	time.Sleep(delay)
 	if lose {
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Store-Era", strconv.Itoa(era))
 	w.WriteHeader(status)
 	if body != nil {
 		_ = json.NewEncoder(w).Encode(body) // fails if the caller has disconnected
@@ -331,7 +334,7 @@
 	}
 	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer timer.Stop()
-	for !s.unavailable["all"] && after >= s.compacted && len(s.events(prefix, after)) == 0 {
+	for !s.unavailable["all"] && after >= s.compacted && after <= s.revision && len(s.events(prefix, after)) == 0 {
 		changed := s.changed
 		s.mu.Unlock()
 		var ended bool
@@ -365,7 +368,7 @@
 
 func (s *Store) listEvents(r *http.Request) (int, any) {
 	prefix, after := watched(r)
-	if after < s.compacted {
+	if after < s.compacted || after > s.revision {
 		return http.StatusGone, nil
 	}
 	return http.StatusOK, map[string]any{"events": s.events(prefix, after), "at": s.revision}
