Keep the sums of reported windows when the store loses them

After a drill of the store a window was reported a second time with fewer requests: the next holder summed up a window again whose fixed sum was lost, from records that lacked the counts of a stopped process. That process's successor did not write them again, since the store had acknowledged them.

Instances remember the sums that they read or wrote, and tell the holder. A window that may have been reported and whose sum nobody knows is skipped. Records are written again in each generation of the store.

--- a/entry/site/duties.go
+++ b/entry/site/duties.go
@@ -11,6 +11,7 @@
 
 	"papayaport.dev/serving/process/clock"
 	"papayaport.dev/serving/process/departure"
+	"papayaport.dev/serving/process/generation"
 	"papayaport.dev/serving/process/platform/store"
 	"papayaport.dev/serving/process/usage"
 )
@@ -139,7 +140,10 @@
 		d.fixed = fixed
 	}
 	for _, number := range due {
-		if !s.reportWindow(ctx, d.fencing, usage.Window{Number: number, Counts: d.fixed[number]}) {
+		counts, found := d.fixed[number]
+		if !found {
+			log.WithField("window", number).Warn("duties: window skipped, its report may have been lost with an earlier generation of the store")
+		} else if !s.reportWindow(ctx, d.fencing, usage.Window{Number: number, Counts: counts}) {
 			return
 		}
 		d.reported = number
@@ -164,7 +168,8 @@
 }
 
 // fixWindows fixes the counts of windows by one conditional write. Counts that were fixed
-// before do not change. All windows use the same read of the records and the same round of
+// before do not change, also if the store has lost them since. A window is left out if it may have been
+// reported in an earlier generation of the store and no instance knows its counts. All windows use the same read of the records and the same round of
 // queries, so that a takeover costs no more than a single window.
 func (s *Site) fixWindows(ctx context.Context, numbers []int64) (map[int64]usage.Counts, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -180,6 +185,13 @@
 			return nil, errors.Wrap(err, "fixed sums")
 		}
 	}
+	var marker generation.Marker
+	if s.observeGeneration() > 0 {
+		if marker, err = s.generationMarker(ctx); err != nil {
+			return nil, err
+		}
+	}
+	s.addFixedSums(kept)
 	fixed := map[int64]usage.Counts{}
 	var missing []int64
 	for _, number := range numbers {
@@ -196,8 +208,14 @@
 	if err != nil {
 		return nil, err
 	}
-	maps.Copy(kept, sums)
-	maps.Copy(fixed, sums)
+	for number, counts := range sums {
+		if known, found := s.fixedSums.Sum(number); found {
+			counts = known
+		} else if marker.ActedBefore(s.usage.End(number).Add(reportAfter), s.leaseTTL()) {
+			continue
+		}
+		kept[number], fixed[number] = counts, counts
+	}
 	newest := numbers[len(numbers)-1]
 	maps.DeleteFunc(kept, func(other int64, _ usage.Counts) bool { return other <= newest-keptSums })
 	value, err := json.Marshal(kept)
@@ -208,9 +226,17 @@
 		// The next attempt reads the stored sums, whichever instance wrote them.
 		return nil, err
 	}
+	s.addFixedSums(kept)
 	return fixed, nil
 }
 
+// addFixedSums adds sums that an instance has fixed.
+func (s *Site) addFixedSums(sums map[int64]usage.Counts) {
+	if conflicts := s.fixedSums.Add(sums); len(conflicts) > 0 {
+		s.logger("duties").WithField("windows", conflicts).Error("duties: two sums of a window were fixed, the first one stays")
+	}
+}
+
 // sumWindows sums up the counts of windows that all entry instances wrote or reported.
 func (s *Site) sumWindows(ctx context.Context, numbers []int64) (map[int64]usage.Counts, error) {
 	entries, err := s.platform.Store.List(ctx, entriesPrefix)
--- a/entry/site/generation_test.go
+++ b/entry/site/generation_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"encoding/json"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -9,6 +12,7 @@
 
 	"papayaport.dev/serving/process/generation"
 	"papayaport.dev/serving/process/platform/store"
+	"papayaport.dev/serving/process/usage"
 )
 
 // markerOf stores a marker of a generation that began some time ago.
@@ -58,3 +62,44 @@
 		})
 	}
 }
+
+// TestSumsOfALostWindow guards against a second sum for a window that was reported in an earlier
+// generation of the store.
+func TestSumsOfALostWindow(t *testing.T) {
+	for name, test := range map[string]struct {
+		age    time.Duration // time since the generation was marked
+		known  map[int64]usage.Counts
+		stored string
+		want   usage.Counts // nil if the window is skipped
+	}{
+		"still stored":                  {time.Second, nil, `{"%d": {"a": 5}}`, usage.Counts{"a": 5}},
+		"lost, and known":               {time.Second, map[int64]usage.Counts{0: {"a": 6}}, "{}", usage.Counts{"a": 6}},
+		"lost, and unknown":             {time.Second, nil, "{}", nil},
+		"not reported before":           {time.Hour, nil, "{}", usage.Counts{"a": 7}},
+		"known sums are not replaced":   {time.Hour, map[int64]usage.Counts{0: {"a": 6}}, "{}", usage.Counts{"a": 6}},
+		"a store that lost all sums":    {time.Second, nil, "", nil},
+		"known, in a store without any": {time.Second, map[int64]usage.Counts{0: {"a": 6}}, "", usage.Counts{"a": 6}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, keys := newTestSite(t), newFakeStore()
+			s.platform.Store, keys.generation = keys, 2
+			ctx := context.Background()
+			number := s.usage.Number(s.calendar.Now().Add(-reportAfter)) - 1
+			markerOf(t, s, keys, 2, test.age)
+			if test.stored != "" {
+				_, err := keys.Put(ctx, reportsKey, []byte(strings.Replace(test.stored, "%d", strconv.FormatInt(number, 10), 1)), 0)
+				require.NoError(t, err)
+			}
+			own, err := json.Marshal(record{Incarnation: 1, Usage: map[int64]usage.Counts{number: {"a": 7}}})
+			require.NoError(t, err)
+			_, err = keys.Put(ctx, entriesPrefix+"other", own, 0)
+			require.NoError(t, err)
+			if test.known != nil {
+				s.storeLoadReport(time.Now(), loadReport{Instance: "peer", FixedSums: map[int64]usage.Counts{number: test.known[0]}})
+			}
+			fixed, err := s.fixWindows(ctx, []int64{number})
+			require.NoError(t, err)
+			require.Equal(t, test.want, fixed[number])
+		})
+	}
+}
--- a/entry/site/load.go
+++ b/entry/site/load.go
@@ -34,6 +34,7 @@
 	TokensPerSecond map[string]float64     `cbor:"4,keyasint,omitempty"`
 	Usage           map[int64]usage.Counts `cbor:"5,keyasint,omitempty"`
 	PrefillRates    map[string]float64     `cbor:"6,keyasint,omitempty"`
+	FixedSums       map[int64]usage.Counts `cbor:"7,keyasint,omitempty"`
 }
 
 // loadReports holds the last report of each entry instance, by its id.
@@ -85,7 +86,8 @@
 	})
 }
 
-// queryLoads queries the peers of the current round, or all peers, concurrently.
+// queryLoads queries the peers of the current round, or all peers and with the fixed sums that they
+// know, concurrently.
 func (s *Site) queryLoads(ctx context.Context, all bool) {
 	s.storeLoadReport(time.Now(), s.ownLoadReport(time.Now()))
 	ctx, cancel := context.WithTimeout(ctx, loadQueryTimeout)
@@ -100,7 +102,7 @@
 			continue
 		}
 		group.Go(func() error {
-			response, err := s.queryPeer(ctx, address, query{Load: true})
+			response, err := s.queryPeer(ctx, address, query{Load: true, FixedSums: all})
 			if err != nil || response.Load == nil {
 				s.logger("duties").WithError(err).WithField("peer", address).Debug("duties: peer did not report its load")
 				return nil
@@ -138,6 +140,8 @@
 
 func (s *Site) storeLoadReport(now time.Time, report loadReport) {
 	s.usageReports.Record(report.Instance, report.Incarnation, report.Usage)
+	s.addFixedSums(report.FixedSums)
+	report.FixedSums = nil
 	s.loadReports.mu.Lock()
 	defer s.loadReports.mu.Unlock()
 	if s.loadReports.received == nil {
--- a/entry/site/query.go
+++ b/entry/site/query.go
@@ -23,6 +23,8 @@
 	Lend *admission.Debt `cbor:"1,keyasint,omitempty"`
 	// Load requests the load and the usage counts.
 	Load bool `cbor:"3,keyasint,omitempty"`
+	// FixedSums requests the fixed sums of usage with the load.
+	FixedSums bool `cbor:"9,keyasint,omitempty"`
 	// View requests the view of the store.
 	View *viewQuery `cbor:"4,keyasint,omitempty"`
 	// Grant requests a grant from a pool. Key 2 was an older form of it.
@@ -86,6 +88,9 @@
 		h.s.receivePayment(request.Pay)
 	case request.Load:
 		own := h.s.ownLoadReport(time.Now())
+		if request.FixedSums {
+			own.FixedSums = h.s.fixedSums.All()
+		}
 		response.Load = &own
 	case request.Rollouts != nil:
 		response.Rollouts = h.s.handleRolloutQuery(*request.Rollouts)
--- a/entry/site/record.go
+++ b/entry/site/record.go
@@ -65,6 +65,8 @@
 	usage  map[int64]usage.Counts
 	// previous is the incarnation of the previous process, 0 for none.
 	previous uint64
+	// generation is that of the store in which the record was last written.
+	generation uint64
 	// writtenAt is when the last successful write was sent, by clock.Boot.
 	writtenAt time.Time
 	// deficits are upper bounds of what the pools at this instance lack.
@@ -87,6 +89,10 @@
 		if s.quarantine.TakeChanged(now) {
 			s.record.dirty = true
 		}
+		if s.record.loaded && s.record.generation != s.observeGeneration() {
+			s.record.deficits.Lost()
+			s.record.dirty = true
+		}
 		if s.record.loaded && (s.record.dirty || clock.Boot().Sub(s.record.writtenAt) >= departure.RefreshPeriod) {
 			s.writeRecord(ctx)
 		}
@@ -163,7 +169,7 @@
 		s.logger("record").WithError(err).Error("record: not encoded")
 		return
 	}
-	sentAt := clock.Boot()
+	sentAt, generation := clock.Boot(), s.observeGeneration()
 	if _, err := s.platform.Store.Put(ctx, entriesPrefix+s.settings.Instance, value, store.AnyRevision); err != nil {
 		s.logger("record").WithError(err).Warn("record: not written, tried again")
 		return
@@ -172,17 +178,38 @@
 		s.startCredit.setDue()
 		s.grantStartCredit()
 	}
+	if generation != s.observeGeneration() {
+		s.logger("record").Warn("record: may be lost with an earlier generation of the store, tried again")
+		return
+	}
+	s.record.generation = generation
 	s.record.deficits.Stored(deficits)
 	s.record.dirty, s.record.writtenAt = false, sentAt
 	s.own.RecordWrite(sentAt)
 }
 
+// readFixedSums remembers the fixed sums of usage, in case that the store loses them.
+func (s *Site) readFixedSums(entry platform.Entry) {
+	if s.sumsRevision.Swap(entry.Revision) == entry.Revision {
+		return
+	}
+	var sums map[int64]usage.Counts
+	if err := json.Unmarshal(entry.Value, &sums); err != nil {
+		s.logger("duties").WithError(err).Warn("duties: fixed sums can't be decoded, ignored")
+		return
+	}
+	s.addFixedSums(sums)
+}
+
 // setEntries decodes and stores the records of all entry instances, and passes the instances to
 // the membership.
 func (s *Site) setEntries(own []platform.Entry) []record {
 	var records []record
 	var instances []platform.Instance
 	for _, entry := range own {
+		if entry.Key == reportsKey {
+			s.readFixedSums(entry)
+		}
 		if !strings.HasPrefix(entry.Key, entriesPrefix) {
 			continue
 		}
--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -219,6 +219,10 @@
 	loadReports  loadReports
 	occupancy    *occupancyExchange
 	usageReports *usage.PeerCounts
+	// fixedSums holds the sums that any instance has fixed, as far as this one knows them.
+	fixedSums *usage.FixedSums
+	// sumsRevision is the revision at which they were last read from a view.
+	sumsRevision atomic.Uint64
 	intake       *sizing.TokenMeter
 	// rollouts is nil when the settings have no exposure bounds for roll-outs.
 	rollouts *rollouts
@@ -262,6 +266,7 @@
 	dialled := s.metrics.NewCounter("papayaport_backend_dials_total")
 	s.pool = upstream.New(upstream.Options{EchoHeader: p.EchoHeader, OnDial: dialled.Inc})
 	s.usage, s.usageReports = usage.New(seconds(set.Usage.WindowS)), usage.NewPeerCounts()
+	s.fixedSums = usage.NewFixedSums(keptSums)
 	s.calendar = clock.NewCalendar(s.started, clock.Boot())
 	s.record.deficits = quota.NewDeficitLog()
 	s.own = departure.NewShare(clock.Boot())
--- a/serving/request/quota/deficit.go
+++ b/serving/request/quota/deficit.go
@@ -74,6 +74,12 @@
 // the two.
 func (l *DeficitLog) Stored(deficits Deficits) { l.stored, l.pending = deficits, Deficits{} }
 
+// Lost records that the store may have lost the deficits in it.
+func (l *DeficitLog) Lost() {
+	l.pending.raise(l.stored)
+	l.stored = Deficits{}
+}
+
 // StoredDeficits are the deficits that one instance stored.
 type StoredDeficits struct {
 	Deficits Deficits
