Ignore servers that come back from an older copy of the store

After a drill of the store requests went to servers that had removed their entries before it: the copy listed them, and an instance had forgotten them. A process that started then also took a lost record for none, and got the start payment of the limits and the retry allowance again.

Removed servers are remembered and ignored for 4 s after a new generation of the store, and leaving holds for an incarnation. A process whose record may be lost gets no credit that depends on it.

--- a/entry/site/generation_test.go
+++ b/entry/site/generation_test.go
@@ -103,3 +103,32 @@
 		})
 	}
 }
+
+// TestRecordThatMayBeLost guards against a start payment and a retry allowance for a process whose
+// predecessor's record the store may have lost.
+func TestRecordThatMayBeLost(t *testing.T) {
+	for name, test := range map[string]struct {
+		present  uint64
+		age      time.Duration
+		first    bool
+		complete bool
+	}{
+		"a store without generations": {0, 0, false, true},
+		"the first start":             {1, time.Second, true, true},
+		"a new generation":            {2, time.Second, false, false},
+		"an old generation":           {2, time.Hour, false, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, keys := newTestSite(t), newFakeStore()
+			s.platform.Store, keys.generation = keys, test.present
+			value, err := generation.Begin(test.present, s.calendar.Now().Add(-test.age), test.first).Encode()
+			require.NoError(t, err)
+			_, err = keys.Put(context.Background(), generationKey, value, 0)
+			require.NoError(t, err)
+			s.loadRecord(context.Background())
+			require.True(t, s.record.loaded)
+			require.Equal(t, test.complete, !s.record.incomplete)
+			require.Equal(t, test.complete, s.needsStartPayment())
+		})
+	}
+}
--- a/entry/site/record.go
+++ b/entry/site/record.go
@@ -12,6 +12,7 @@
 
 	"papayaport.dev/serving/process/clock"
 	"papayaport.dev/serving/process/departure"
+	"papayaport.dev/serving/process/generation"
 	"papayaport.dev/serving/process/platform"
 	"papayaport.dev/serving/process/platform/store"
 	"papayaport.dev/serving/process/usage"
@@ -65,6 +66,8 @@
 	usage  map[int64]usage.Counts
 	// previous is the incarnation of the previous process, 0 for none.
 	previous uint64
+	// incomplete is set if the store may have lost what the previous process wrote last.
+	incomplete bool
 	// generation is that of the store in which the record was last written.
 	generation uint64
 	// writtenAt is when the last successful write was sent, by clock.Boot.
@@ -102,7 +105,8 @@
 // Started counts a request that began to run.
 func (s *Site) Started(account string) { s.usage.Began(s.calendar.Now(), account) }
 
-// loadRecord loads the usage windows that the previous process of this instance wrote.
+// loadRecord loads what the previous process of this instance wrote. If the store may have lost it, this
+// process gets nothing that depends on what the previous one has used.
 func (s *Site) loadRecord(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -111,9 +115,20 @@
 		s.logger("record").WithError(err).Warn("record: own record not read")
 		return
 	}
+	var marker generation.Marker
+	if s.observeGeneration() > 0 {
+		var markerErr error
+		if marker, markerErr = s.generationMarker(ctx); markerErr != nil {
+			s.logger("record").WithError(markerErr).Warn("record: generation of the store not known, tried again")
+			return
+		}
+	}
+	s.record.incomplete = marker.MayHaveLost(s.calendar.Now(), s.usePeriod())
 	old := record{}
 	if errors.Is(err, store.ErrNotFound) {
-		s.budget.SkipInitialWait()
+		if !s.record.incomplete {
+			s.budget.SkipInitialWait()
+		}
 	} else if err := json.Unmarshal(entry.Value, &old); err != nil {
 		s.logger("record").WithError(err).Warn("record: own record can't be decoded, will be replaced")
 	}
@@ -128,6 +143,11 @@
 	}
 }
 
+// usePeriod is the period in which the use of limits and of the retry budget counts.
+func (s *Site) usePeriod() time.Duration {
+	return max(seconds(s.settings.Quota.WindowS)+startMargin, seconds(s.settings.Retry.WindowS))
+}
+
 // flushRecord writes the counts since the last window at the end of the process.
 func (s *Site) flushRecord() {
 	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
--- a/entry/site/start_credit.go
+++ b/entry/site/start_credit.go
@@ -12,8 +12,11 @@
 
 // needsStartPayment reports whether no earlier process of this instance can have made its start
 // payment into pools within the window of the limits. A process that ended before it wrote a
-// record has paid nothing.
+// record has paid nothing. Without a complete record it is not known.
 func (s *Site) needsStartPayment() bool {
+	if s.record.incomplete {
+		return false
+	}
 	if s.record.previous == 0 {
 		return true
 	}
--- a/entry/site/views.go
+++ b/entry/site/views.go
@@ -209,6 +209,8 @@
 type viewPoller struct {
 	site  *Site
 	table *directory.Table
+	// generation is the generation of the store that the table has seen.
+	generation uint64
 	// ownReceivedAt is when the records of the entry instances were last received, and relayedAt
 	// when a reader last replied, by clock.Boot.
 	ownReceivedAt, relayedAt time.Time
@@ -366,6 +368,12 @@
 	if view.leases != nil {
 		s.leases.Observe(dutyLease, slices.Contains(view.leases, dutyLease))
 	}
+	if view.generation > v.generation {
+		if v.generation > 0 {
+			v.table.StoreReplaced(now)
+		}
+		v.generation = view.generation
+	}
 	servers := v.table.Update(now, view.servers)
 	// Load-outs are applied before the servers, so that no server of a new version is used
 	// without its order.
--- a/serving/process/directory/directory.go
+++ b/serving/process/directory/directory.go
@@ -27,6 +27,15 @@
 // the listing.
 const DefaultGracePeriod = 2500 * time.Millisecond
 
+const (
+	// staleEntryTime is how long after the beginning of a new generation of the store an entry may be
+	// one that its server has removed before. Servers need about two seconds to write again, and a
+	// third more time covers instances that read late.
+	staleEntryTime = 4 * time.Second
+	// removedTime is how long a removed server is remembered: longer than copies of the store are old.
+	removedTime = time.Minute
+)
+
 // Server is one incarnation of a backend server as described by itself.
 type Server struct {
 	ID string `cbor:"1,keyasint"`
@@ -80,11 +89,21 @@
 	known       map[string]Server
 	// graceUntil is the end of the grace period after the last outage.
 	graceUntil time.Time
+	// removed holds the servers that were removed lately, and staleUntil the time until which an entry
+	// of one is ignored.
+	removed    map[string]removedServer
+	staleUntil time.Time
+}
+
+// removedServer is a server whose entry is gone.
+type removedServer struct {
+	Server
+	at time.Time
 }
 
 // New returns an empty table.
 func New(gracePeriod time.Duration) *Table {
-	return &Table{gracePeriod: gracePeriod, known: map[string]Server{}}
+	return &Table{gracePeriod: gracePeriod, known: map[string]Server{}, removed: map[string]removedServer{}}
 }
 
 // ListFailed records that a listing started at the given time could not be read. The grace period
@@ -92,20 +111,33 @@
 // servers longer than the others, however late it notices that the partition has healed.
 func (t *Table) ListFailed(begun time.Time) { t.graceUntil = begun.Add(t.gracePeriod) }
 
+// StoreReplaced records that the store has come back from an older copy, in which servers that have
+// been removed since are listed and new ones are not. Servers may write their entries again for the
+// grace period.
+func (t *Table) StoreReplaced(now time.Time) {
+	t.graceUntil, t.staleUntil = now.Add(t.gracePeriod), now.Add(staleEntryTime)
+}
+
 // Update applies a complete listing and returns the servers that may get requests or are leaving,
 // sorted by id. An older incarnation never replaces a newer one, and only a new incarnation ends
-// leaving.
+// leaving, also of a server whose entry was gone for a while.
 func (t *Table) Update(now time.Time, listed []Server) []Server {
 	present := make(map[string]bool, len(listed))
 	for _, server := range listed {
 		present[server.ID] = true
-		t.update(server)
+		t.update(now, server)
 	}
-	for id := range t.known {
+	for id, server := range t.known {
 		if !present[id] && !now.Before(t.graceUntil) {
+			t.removed[id] = removedServer{server, now}
 			delete(t.known, id)
 		}
 	}
+	for id, server := range t.removed {
+		if now.Sub(server.at) > removedTime {
+			delete(t.removed, id)
+		}
+	}
 	servers := make([]Server, 0, len(t.known))
 	for _, server := range t.known {
 		servers = append(servers, server)
@@ -114,8 +146,15 @@
 	return servers
 }
 
-func (t *Table) update(server Server) {
+func (t *Table) update(now time.Time, server Server) {
 	known, found := t.known[server.ID]
+	if before, removed := t.removed[server.ID]; removed && !found {
+		if now.Before(t.staleUntil) && server.Incarnation <= before.Incarnation {
+			return
+		}
+		known, found = before.Server, true
+		delete(t.removed, server.ID)
+	}
 	if found && server.Incarnation < known.Incarnation {
 		return
 	}
--- a/standin/fakeplatform/drill.go
+++ b/standin/fakeplatform/drill.go
@@ -26,7 +26,11 @@
 // Restore replaces the contents by those of a copy and begins a new era. Revisions and the ids of
 // leases are given out again, and leases have the time left that they had in the copy. What operators
 // and backend servers wrote or removed since is written again.
-func (s *Store) Restore(from Copy) {
+func (s *Store) Restore(from Copy) { s.RestoreAlone(from)() }
+
+// RestoreAlone does the same, but operators and backend servers write again when the returned function
+// is called.
+func (s *Store) RestoreAlone(from Copy) (writeAgain func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	before := s.items
@@ -37,6 +41,14 @@
 		l.expiresAt = l.expiresAt.Add(away)
 		s.leases[id] = l
 	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return func() { s.writeAgain(before) }
+}
+
+func (s *Store) writeAgain(before map[string]Item) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	for _, key := range slices.Sorted(maps.Keys(s.items)) {
 		if _, found := before[key]; !found && isOperators(key) {
 			s.revision++
@@ -48,8 +60,6 @@
 			s.put(key, before[key].Value, 0)
 		}
 	}
-	close(s.changed)
-	s.changed = make(chan struct{})
 }
 
 func isOperators(key string) bool {
