Serve requests through other instances while no backend server is reached

Callers of an instance that was partitioned from all backend servers got 502 or 503 for each request, while other instances reached the servers: it knew only failures of single servers, and had no way to serve a request elsewhere.

Failures at two servers or a silence of all requests in flight lead to probes, and probes that reach no server to isolation. Requests are then passed on over drpc to instances that reach servers, before they are charged here; the instance that serves them charges and counts them. Isolation ends after successful probes in a row.

--- a/entry/relay/account.go
+++ b/entry/relay/account.go
@@ -21,7 +21,7 @@
 
 // checkQuota charges the request against the rate limits of its client account.
 func (r *requestState) checkQuota(ctx context.Context) error {
-	if r.account != nil && (r.account.TokensPerSecond > 0 || r.account.RequestsPerSecond > 0) {
+	if !r.admitted && r.account != nil && (r.account.TokensPerSecond > 0 || r.account.RequestsPerSecond > 0) {
 		var err error
 		r.limitedBy, err = r.relay.Limiter.Admit(ctx, r.relay.attemptID(r.call), r.account.Name, r.quotaTokens(), r.quotaRank())
 		if err != nil {
--- a/entry/relay/plain.go
+++ b/entry/relay/plain.go
@@ -25,7 +25,9 @@
 // servePlain buffers a response and passes it on. Nothing is sent to the caller before the
 // response is complete, so that the request can be retried when the response breaks off.
 func (r *requestState) servePlain(ctx context.Context, w http.ResponseWriter) error {
-	r.relay.Budget.Request(time.Now(), r.service)
+	if !r.admitted {
+		r.relay.Budget.Request(time.Now(), r.service)
+	}
 	for {
 		answer, body, err := r.plainAttempt(ctx)
 		failed := err == nil && answer.status >= http.StatusInternalServerError
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -226,6 +226,10 @@
 	// Started is closed once the configuration and the backend servers are known for the first
 	// time. Requests wait for it for a moment after New; nil means that none waits.
 	Started <-chan struct{}
+	// Forwarder passes requests on while Reachability reports that this instance reaches no backend
+	// server. Both may be nil: all requests are served here then.
+	Forwarder    Forwarder
+	Reachability Reachability
 	// Entries returns the number of entry instances.
 	Entries func() int
 	// Draw returns random numbers in [0, 1).
@@ -261,7 +265,7 @@
 )
 
 // New returns a relay that serves callers at once. It takes no-ops for a nil VersionPicker, a nil
-// AttemptObserver and a nil RequestGuard.
+// AttemptObserver, a nil RequestGuard and a nil Reachability.
 func New(dependencies Dependencies) *Relay {
 	if dependencies.VersionPicker == nil {
 		dependencies.VersionPicker = anyVersion{}
@@ -272,6 +276,9 @@
 	if dependencies.RequestGuard == nil {
 		dependencies.RequestGuard = noGuard{}
 	}
+	if dependencies.Reachability == nil {
+		dependencies.Reachability = alwaysReachable{}
+	}
 	return &Relay{Dependencies: dependencies, startWaitEnds: time.Now().Add(maxStartWait)}
 }
 
@@ -305,21 +312,29 @@
 		state.reject(w, problem.From(err))
 		return
 	}
-	if err := state.checkQuarantine(); err != nil {
-		state.reject(w, problem.From(err))
+	if r.Reachability.Isolated() && state.passOn(request.Context(), w, false) {
 		return
 	}
-	if err := state.checkQuota(request.Context()); err != nil {
-		state.reject(w, problem.From(err))
+	state.admitAndServe(request.Context(), w)
+}
+
+// admitAndServe checks whether a request is admitted, and serves it.
+func (r *requestState) admitAndServe(ctx context.Context, w http.ResponseWriter) {
+	if err := r.checkQuarantine(); err != nil {
+		r.reject(w, problem.From(err))
 		return
 	}
-	if err := state.checkLoad(time.Now()); err != nil {
-		state.reject(w, problem.From(err))
+	if err := r.checkQuota(ctx); err != nil {
+		r.reject(w, problem.From(err))
+		return
+	}
+	if err := r.checkLoad(time.Now()); err != nil {
+		r.reject(w, problem.From(err))
 		return
 	}
-	defer state.finishShedding()
-	defer state.finishQuarantine()
-	state.serve(request.Context(), w)
+	defer r.finishShedding()
+	defer r.finishQuarantine()
+	r.serve(ctx, w)
 }
 
 // awaitStart waits until the configuration and the backend servers are known for the first time,
--- a/entry/relay/request.go
+++ b/entry/relay/request.go
@@ -77,6 +77,10 @@
 	// retryReserved is set while a retry was taken from the retry budget and not sent yet.
 	retryReserved atomic.Bool
 
+	// forwarded is set at the instance that serves the request for another one, and admitted if that
+	// one has charged and counted it. passedOn is set where it was received.
+	forwarded, admitted, passedOn bool
+
 	// shedding is the load-shedding decision on the request, nil when there was none.
 	shedding *sheddingDecision
 
@@ -154,11 +158,23 @@
 	} else {
 		err = r.servePlain(ctx, w)
 	}
+	if err != nil && r.relay.Reachability.Suspected(time.Now()) && !isFinal(err) && r.passOn(caller, w, true) {
+		return
+	}
 	if err != nil {
 		r.reject(w, problem.From(err))
 	}
 }
 
+// isFinal reports whether another instance would refuse the request as well, or nobody waits for it.
+func isFinal(err error) bool {
+	switch problem.From(err).Kind {
+	case problem.BackendRefused, problem.NoBackend:
+		return false
+	}
+	return true
+}
+
 func (r *requestState) routeRequest() route.Request {
 	request := route.Request{
 		Service: r.service, AnswerTokens: 1, Priority: r.priority(), Deadline: r.deadline, Exclude: r.excluded,
@@ -213,6 +229,12 @@
 	stallTimer := r.startStallTimer(a, r.attempts+1)
 	stallTimer.Reset(r.responseTimeout(choice))
 	defer stallTimer.Stop()
+	relay.Reachability.Started(time.Now())
+	defer func() {
+		if err != nil {
+			relay.Reachability.Ended()
+		}
+	}()
 	header := relay.Codec.Attempt(r.call, Attempt{
 		Server: choice.Backend.ID, Remaining: time.Until(r.deadline), Account: r.accountName(),
 		Priority: r.priority(), LastEventID: lastEvent,
@@ -230,9 +252,13 @@
 		},
 	})
 	if err != nil {
+		if showsPartition(err) {
+			relay.Reachability.Unreached(time.Now(), choice.Backend.ID)
+		}
 		r.recordFailure(a, err)
 		return nil, err
 	}
+	relay.Reachability.Reached(time.Now())
 	a.answer = relay.Codec.Answer(a.response.Status, a.response.Header)
 	r.backpressure = a.answer.Backpressure
 	if !a.answer.Misdirected && (a.answer.Valid || a.answer.NotRun) {
@@ -339,6 +365,7 @@
 	a.observation.finish(now, result, r.events-a.observation.events)
 	if a.response != nil {
 		a.response.Close()
+		r.relay.Reachability.Ended()
 	}
 	a.cancel(nil)
 }
@@ -412,6 +439,12 @@
 	if r.account != nil {
 		fields["tokens"] = r.quotaTokens()
 	}
+	if r.forwarded {
+		fields["forwarded"] = true
+	}
+	if r.passedOn {
+		fields["passed_on"] = true
+	}
 	if r.limitedBy != "" {
 		fields["limited_by"] = r.limitedBy
 	}
--- a/entry/relay/stream.go
+++ b/entry/relay/stream.go
@@ -39,7 +39,9 @@
 // stream that can't be completed ends by aborting the caller's connection, so that it does not
 // look complete.
 func (r *requestState) serveStream(ctx context.Context, w http.ResponseWriter) error {
-	r.relay.Budget.Request(time.Now(), r.service)
+	if !r.admitted {
+		r.relay.Budget.Request(time.Now(), r.service)
+	}
 	out := &stream{w: w, flush: http.NewResponseController(w).Flush, lastEventID: r.call.LastEventID}
 	for {
 		answer, err := r.streamAttempt(ctx, out)
@@ -149,6 +151,7 @@
 			return errors.Wrap(err, "read event")
 		}
 		now := time.Now()
+		r.relay.Reachability.Reached(now)
 		if r.events > 0 {
 			r.maxGap = max(r.maxGap, now.Sub(r.progress))
 		}
--- a/entry/site/serve.go
+++ b/entry/site/serve.go
@@ -136,6 +136,12 @@
 	gauge("entries", func() float64 { return float64(s.entries()) })
 	gauge("log_lines_dropped_total", func() float64 { return float64(s.lines.Dropped()) })
 	gauge("backend_servers", func() float64 { return float64(len(s.backends())) })
+	gauge("isolated", func() float64 {
+		if s.reachability.Isolated() {
+			return 1
+		}
+		return 0
+	})
 	gauge("store_generation", func() float64 {
 		s.generation.mu.Lock()
 		defer s.generation.mu.Unlock()
--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -40,6 +40,7 @@
 	"papayaport.dev/serving/process/lease"
 	"papayaport.dev/serving/process/membership"
 	"papayaport.dev/serving/process/platform"
+	"papayaport.dev/serving/process/reachability"
 	"papayaport.dev/serving/process/sizing"
 	"papayaport.dev/serving/process/usage"
 	"papayaport.dev/serving/request/admission"
@@ -183,6 +184,8 @@
 	// quarantine holds the parts of prompts that are suspected of crashing backend servers.
 	quarantine *quarantine.Table
 	pool       *upstream.Pool
+	// reachability tells whether this instance reaches backend servers.
+	reachability *reachability.Detector
 	// usage counts requests by calendar-aligned windows.
 	usage    *usage.Counter
 	calendar *clock.Calendar
@@ -265,6 +268,7 @@
 	}, s.started)
 	dialled := s.metrics.NewCounter("papayaport_backend_dials_total")
 	s.pool = upstream.New(upstream.Options{EchoHeader: p.EchoHeader, OnDial: dialled.Inc})
+	s.reachability = reachability.New()
 	s.usage, s.usageReports = usage.New(seconds(set.Usage.WindowS)), usage.NewPeerCounts()
 	s.fixedSums = usage.NewFixedSums(keptSums)
 	s.calendar = clock.NewCalendar(s.started, clock.Boot())
@@ -283,6 +287,7 @@
 		Room:  memorybudget.New(int64(set.MemoryMB) << 20 / responseMemoryDivisor),
 		Codec: p.Codec, Metrics: relay.NewMetrics(s.metrics), Started: s.fullyStarted, Entries: s.entries, Draw: rand.Float64, Log: s.logger("relay").WithField("failure_domain", set.FailureDomain),
 		LoadShedder: s.newLoadShedder(), LoadKnown: s.isLoadKnown,
+		Forwarder: newForwarder(s), Reachability: s.reachability,
 	}
 	if set.Rollout != nil {
 		s.rollouts = newRollouts(set.Rollout.limits(), s.metrics)
@@ -324,7 +329,7 @@
 	}
 	loops := []func(context.Context) error{
 		s.runView, s.runConfiguration, s.runDistribution, s.exchange.Run, s.runRecord, s.leases.Run, s.runDuties, s.runTicks, s.runBorrow, s.runPayments, s.runLoadQueries,
-		s.runOccupancy,
+		s.runOccupancy, s.runReachability,
 	}
 	if s.rollouts != nil {
 		loops = append(loops, s.runRollouts, s.runRolloutQueries)
--- a/serving/connection/peer/description.go
+++ b/serving/connection/peer/description.go
@@ -46,6 +46,9 @@
 	{AttachMethod, func(s any, _ context.Context, in, stream any) (drpc.Message, error) {
 		return nil, s.(*server).attach(in.(*find), stream.(drpc.Stream))
 	}, (*server).attach},
+	{ForwardMethod, func(s any, _ context.Context, in, stream any) (drpc.Message, error) {
+		return nil, s.(*server).forward(in.(*content), stream.(drpc.Stream))
+	}, (*server).forward},
 }
 
 // NumMethods implements drpc.Description.
--- a/serving/connection/peer/peer.go
+++ b/serving/connection/peer/peer.go
@@ -54,6 +54,15 @@
 	Attach(ctx context.Context, requestID string, offset int64, send func(piece []byte) error) error
 }
 
+// Forwarder is implemented by a Handler that serves requests for instances that reach no backend
+// server.
+type Forwarder interface {
+	// Forward serves a request and sends the pieces of its answer. It returns nil once the answer is
+	// complete, and ErrNotFound if this instance does not serve the request and never will. It may
+	// last as long as the request.
+	Forward(ctx context.Context, request []byte, send func(piece []byte) error) error
+}
+
 // HandOver is an unfinished request with its progress. Body and State are opaque to this
 // package.
 type HandOver struct {
--- a/serving/connection/peer/server.go
+++ b/serving/connection/peer/server.go
@@ -121,14 +121,32 @@
 	return &answer{Call: m.Call, Found: found}, wireError(err)
 }
 
-// attach sends the pieces of an answer, and keep-alives between them.
+// attach sends the pieces of an answer.
 func (s *server) attach(m *find, stream drpc.Stream) error {
+	return s.sendPieces(AttachMethod, m.Call, stream, func(ctx context.Context, send func([]byte) error) error {
+		return s.handler.Attach(ctx, m.RequestID, m.Offset, send)
+	})
+}
+
+// forward sends the pieces of the answer to a forwarded request.
+func (s *server) forward(m *content, stream drpc.Stream) error {
+	forwarder, ok := s.handler.(Forwarder)
+	if !ok {
+		return wireError(ErrNotFound)
+	}
+	return s.sendPieces(ForwardMethod, m.Call, stream, func(ctx context.Context, send func([]byte) error) error {
+		return forwarder.Forward(ctx, m.Data, send)
+	})
+}
+
+// sendPieces sends the pieces that a method of the handler returns, and keep-alives between them.
+func (s *server) sendPieces(method Method, call uint64, stream drpc.Stream, handle func(ctx context.Context, send func([]byte) error) error) error {
 	ctx, cancel := context.WithCancel(stream.Context())
 	defer cancel()
-	out := &pieceSender{stream: stream, call: m.Call, encoding: newEncoding(s.options, AttachMethod)}
+	out := &pieceSender{stream: stream, call: call, encoding: newEncoding(s.options, method)}
 	var keepAlives sync.WaitGroup
 	keepAlives.Go(func() { out.keepAlive(ctx, s.options.KeepAlive) })
-	err := s.handler.Attach(ctx, m.RequestID, m.Offset, out.send)
+	err := handle(ctx, out.send)
 	cancel()
 	keepAlives.Wait()
 	if err != nil {
@@ -137,7 +155,7 @@
 	return out.end()
 }
 
-// pieceSender writes an Attach stream. Its mutex is held while a piece is written.
+// pieceSender writes a stream of pieces. Its mutex is held while a piece is written.
 type pieceSender struct {
 	mu       sync.Mutex
 	stream   drpc.Stream
--- a/serving/connection/peer/wire.go
+++ b/serving/connection/peer/wire.go
@@ -21,6 +21,7 @@
 	HandOverMethod Method = "/papayaport.Peer/HandOver"
 	FindMethod     Method = "/papayaport.Peer/Find"
 	AttachMethod   Method = "/papayaport.Peer/Attach"
+	ForwardMethod  Method = "/papayaport.Peer/Forward"
 )
 
 // notFoundCode is the drpc error code of ErrNotFound.
@@ -38,7 +39,8 @@
 	Hash string `cbor:"2,keyasint,omitempty"`
 }
 
-// content is the reply to a fetch, and the message and the reply of ActionMethod.
+// content is the reply to a fetch, the message and the reply of ActionMethod, and the
+// message of ForwardMethod.
 type content struct {
 	Call uint64 `cbor:"1,keyasint"`
 	Data []byte `cbor:"2,keyasint"`
@@ -63,7 +65,7 @@
 	Found bool   `cbor:"2,keyasint"`
 }
 
-// piece is one message of an Attach stream.
+// piece is one message of an Attach or Forward stream.
 type piece struct {
 	Call uint64 `cbor:"1,keyasint"`
 	// Index is the index of the piece in the stream from 0, not counting keep-alives.
--- a/serving/version/deployment/deployment.go
+++ b/serving/version/deployment/deployment.go
@@ -82,6 +82,8 @@
 	// MaxConnections is the maximum number of connections to one backend server from all entry
 	// instances together; 0 means no limit.
 	MaxConnections int
+	// HealthPath is the path that backend servers answer without running a request.
+	HealthPath string
 	// Engine is set for model services.
 	Engine *Engine
 	// Sizing is set if this system scales the number of backend servers.
