--- a/entry/relay/forward.go
+++ b/entry/relay/forward.go
@@ -139,7 +139,14 @@
 	now := time.Now()
 	state := &requestState{relay: r, received: now, progress: now, memory: r.Room.Share(), call: &request.Call, forwarded: true, admitted: request.Admitted}
 	state.call.received = now
+	if r.BodyRoom != nil {
+		state.bodyMemory = r.BodyRoom.Share()
+		if !state.bodyMemory.Resize(len(request.Call.Body)) {
+			return ErrNotForwarded
+		}
+	}
 	defer state.memory.Close()
+	defer state.releaseBody()
 	defer state.log()
 	if err := state.match(version); err != nil {
 		state.reject(w, problem.From(err))
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -211,10 +211,12 @@
 	Budget               *budget.Table
 	Pool                 *upstream.Pool
 	// Room bounds the memory of buffered responses and of the events of streams.
-	Room    *memorybudget.Budget
-	Usage   Usage
-	Codec   Codec
-	Metrics *Metrics
+	Room *memorybudget.Budget
+	// BodyRoom bounds the memory of request bodies; nil means that it is not bounded.
+	BodyRoom *memorybudget.Budget
+	Usage    Usage
+	Codec    Codec
+	Metrics  *Metrics
 	// VersionPicker and AttemptObserver may be nil: all versions are used alike then.
 	VersionPicker   VersionPicker
 	AttemptObserver AttemptObserver
@@ -307,6 +309,7 @@
 	now := time.Now()
 	state := &requestState{relay: r, received: now, progress: now, memory: r.Room.Share()}
 	defer state.memory.Close()
+	defer state.releaseBody()
 	defer state.log()
 	if err := r.receive(w, request, state); err != nil {
 		state.reject(w, problem.From(err))
@@ -401,12 +404,15 @@
 	if err := control.SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil && !errors.Is(err, http.ErrNotSupported) {
 		return problem.New(problem.SlowSender, "set the read deadline of the body: %v", err)
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, request.Body, limit))
+	body, err := state.readBoundedBody(request, http.MaxBytesReader(w, request.Body, limit), limit)
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	switch {
+	case errors.As(err, &tooLarge), errors.Is(err, memorybudget.ErrTooLarge):
 		return problem.New(problem.BodyTooLarge, "the body is over %d bytes", limit)
-	}
-	if err != nil {
+	case errors.Is(err, memorybudget.ErrNoMemory):
+		w.Header().Set("Connection", "close") // the rest of the body is not read
+		return problem.New(problem.QueueFull, "other requests hold the memory for bodies")
+	case err != nil:
 		return problem.New(problem.SlowSender, "read body: %v", err)
 	}
 	if err := control.SetReadDeadline(time.Time{}); err != nil && !errors.Is(err, http.ErrNotSupported) {
@@ -416,6 +422,27 @@
 	return nil
 }
 
+// bodyRoomTimeout bounds the wait of a body for memory that other requests hold.
+const bodyRoomTimeout = 200 * time.Millisecond
+
+// readBoundedBody reads a request body within the memory for bodies.
+func (r *requestState) readBoundedBody(request *http.Request, body io.Reader, limit int64) ([]byte, error) {
+	if r.relay.BodyRoom == nil {
+		return io.ReadAll(body)
+	}
+	r.bodyMemory = r.relay.BodyRoom.Share()
+	ctx, cancel := context.WithTimeout(request.Context(), bodyRoomTimeout)
+	defer cancel()
+	return r.bodyMemory.ReadAll(ctx, body, request.ContentLength, int(limit))
+}
+
+// releaseBody releases the memory of the request's body.
+func (r *requestState) releaseBody() {
+	if r.bodyMemory != nil {
+		r.bodyMemory.Close()
+	}
+}
+
 // attemptID returns an id for an attempt that is unique in this process, since callers may
 // reuse request ids.
 func (r *Relay) attemptID(call *Call) string {
--- a/entry/relay/request.go
+++ b/entry/relay/request.go
@@ -70,6 +70,8 @@
 	oldUnreachable bool
 	// memory is the reservation for the response that is being read.
 	memory *memorybudget.Share
+	// bodyMemory is the reservation for the request's body, nil for none.
+	bodyMemory *memorybudget.Share
 	// mayHaveRun is set when an attempt was sent and the server did not report it as not run.
 	mayHaveRun bool
 	// countedRunning is set when the request was counted as running.
--- a/entry/site/site.go
+++ b/entry/site/site.go
@@ -284,7 +284,7 @@
 		s.leaseTTL(), clock.Boot, seeded())
 	parts := relay.Dependencies{
 		Versions: &s.keeper, Routes: s.routes, Limiter: s, AdmissionObserver: s.intake, BackpressureObserver: s, RequestGuard: s, Budget: s.budget, Pool: s.pool, Usage: s,
-		Room:  memorybudget.New(int64(set.MemoryMB) << 20 / responseMemoryDivisor),
+		Room: memorybudget.New(int64(set.MemoryMB) << 20 / memoryDivisor), BodyRoom: memorybudget.New(int64(set.MemoryMB) << 20 / memoryDivisor),
 		Codec: p.Codec, Metrics: relay.NewMetrics(s.metrics), Started: s.fullyStarted, Entries: s.entries, Draw: rand.Float64, Log: s.logger("relay").WithField("failure_domain", set.FailureDomain),
 		LoadShedder: s.newLoadShedder(), LoadKnown: s.isLoadKnown,
 		Forwarder: newForwarder(s), Reachability: s.reachability,
@@ -307,10 +307,10 @@
 	return s.log.WithFields(logrus.Fields{"instance": s.settings.Instance, "part": name})
 }
 
-// responseMemoryDivisor is the divisor of the memory limit that bounds the memory for large
-// responses. Together with small responses this is less than the smallest supported instances
-// have free.
-const responseMemoryDivisor = 8
+// memoryDivisor is the divisor of the memory limit that bounds the memory for large responses, and
+// that for large request bodies. Together with small ones this is less than the smallest supported
+// instances have free.
+const memoryDivisor = 8
 
 // memoryShare is the share of the memory limit that is set as the Go runtime's soft limit. The
 // rest is left for kernel memory and socket buffers.
