Bound the receive buffers of all connections

Servers without end fill the kernel's memory although little is read: 200 connections held 388 MB of unread bytes during TestEndlessAnswers, segments were dropped for lack of room, and requests waited for their retransmission until the test's deadline.

TestBound fails without the change (5.4 MB sent to a reader that does not read, 1 MB allowed).

--- a/entry/site/serve.go
+++ b/entry/site/serve.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"papayaport.dev/serving/connection/peer"
+	"papayaport.dev/serving/connection/receivebuffer"
 	"papayaport.dev/serving/process/drain"
 )
 
@@ -85,7 +86,7 @@
 		return errors.Wrap(err, "listen")
 	}
 	group.Go(func() error {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(receivebuffer.Listen(listener)); !errors.Is(err, http.ErrServerClosed) {
 			return err
 		}
 		return nil
--- a/serving/connection/peer/connection.go
+++ b/serving/connection/peer/connection.go
@@ -8,6 +8,8 @@
 
 	"github.com/pkg/errors"
 	"storj.io/drpc/drpcconn"
+
+	"papayaport.dev/serving/connection/receivebuffer"
 )
 
 // connection is a client's connection to a peer. It carries one call at a time.
@@ -35,7 +37,7 @@
 }
 
 func (c *Client) dial(ctx context.Context, address string) (net.Conn, error) {
-	var plain net.Dialer
+	plain := net.Dialer{Control: receivebuffer.Control}
 	if c.options.TLS == nil {
 		return plain.DialContext(ctx, "tcp", address)
 	}
--- a/serving/connection/pool/pool.go
+++ b/serving/connection/pool/pool.go
@@ -16,6 +16,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"papayaport.dev/serving/connection/receivebuffer"
 )
 
 // Options limit the connections to one backend server.
@@ -76,7 +78,7 @@
 
 func (p *Pool) newServer(incarnation uint64) *server {
 	transport := &http.Transport{
-		DialContext:            (&net.Dialer{Timeout: p.options.DialTimeout}).DialContext,
+		DialContext:            (&net.Dialer{Timeout: p.options.DialTimeout, Control: receivebuffer.Control}).DialContext,
 		MaxIdleConnsPerHost:    p.options.IdlePerServer,
 		IdleConnTimeout:        p.options.IdleTimeout,
 		DisableCompression:     true,
--- /dev/null
+++ b/serving/connection/receivebuffer/receivebuffer_test.go
@@ -0,0 +1,57 @@
+package receivebuffer_test
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"papayaport.dev/serving/connection/receivebuffer"
+)
+
+// TestBound guards against a sender without end that fills the kernel's memory while nobody reads.
+func TestBound(t *testing.T) {
+	// The sender's own buffer holds bytes as well.
+	const sendBytes, maxBytes = 64 << 10, 1 << 20
+	for name, accepted := range map[string]bool{"a dialled connection": false, "an accepted one": true} {
+		t.Run(name, func(t *testing.T) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			if accepted {
+				listener = receivebuffer.Listen(listener)
+			}
+			defer listener.Close()
+			dialled := make(chan net.Conn, 1)
+			go func() {
+				var dialer net.Dialer
+				if !accepted {
+					dialer.Control = receivebuffer.Control
+				}
+				conn, err := dialer.Dial("tcp", listener.Addr().String())
+				if err != nil {
+					conn = nil
+				}
+				dialled <- conn
+			}()
+			sender, err := listener.Accept()
+			require.NoError(t, err)
+			reader := <-dialled
+			require.NotNil(t, reader)
+			if accepted {
+				sender, reader = reader, sender
+			}
+			defer sender.Close()
+			defer reader.Close()
+			require.NoError(t, sender.(*net.TCPConn).SetWriteBuffer(sendBytes))
+			require.NoError(t, sender.SetWriteDeadline(time.Now().Add(500*time.Millisecond)))
+			sent := 0
+			for err == nil {
+				var n int
+				n, err = sender.Write(make([]byte, 16<<10))
+				sent += n
+			}
+			require.Less(t, sent, maxBytes)
+		})
+	}
+}
--- a/serving/connection/upstream/endless_answer_test.go
+++ b/serving/connection/upstream/endless_answer_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"runtime"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -77,19 +78,23 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			var opened, closed atomic.Int64
+			begin, repeated := []byte(test.begin), []byte(test.repeated)
 			address, _ := serve(t, func(conn net.Conn, requests *bufio.Reader) {
 				opened.Add(1)
 				defer closed.Add(1)
 				if !readRequest(requests) {
 					return
 				}
-				_, err := io.WriteString(conn, test.begin)
-				for number := 0; err == nil; number++ {
-					repeated := test.repeated
-					if repeated == "" {
-						repeated = fmt.Sprintf("x-%d: y\r\n", number)
+				// The server must not allocate for each write: the test measures the memory of the reader.
+				_, err := conn.Write(begin)
+				line := make([]byte, 0, 32)
+				for number := int64(0); err == nil; number++ {
+					repeated := repeated
+					if len(repeated) == 0 {
+						line = append(strconv.AppendInt(append(line[:0], "x-"...), number, 10), ": y\r\n"...)
+						repeated = line
 					}
-					_, err = io.WriteString(conn, repeated)
+					_, err = conn.Write(repeated)
 				}
 			})
 			// On a loaded machine some of the many connections take longer than usual.
--- a/serving/connection/upstream/upstream.go
+++ b/serving/connection/upstream/upstream.go
@@ -34,6 +34,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"papayaport.dev/serving/connection/receivebuffer"
 )
 
 // DefaultDialTimeout is the default of Options.DialTimeout. A server that can be reached answers
@@ -114,7 +116,7 @@
 func New(options Options) *Pool {
 	options.DialTimeout = cmp.Or(options.DialTimeout, DefaultDialTimeout)
 	if options.Dial == nil {
-		dialer := net.Dialer{KeepAlive: keepAliveDisabled}
+		dialer := net.Dialer{KeepAlive: keepAliveDisabled, Control: receivebuffer.Control}
 		options.Dial = dialer.DialContext
 	}
 	return &Pool{options: options, servers: map[string]*connections{}}
