--- a/serving/process/reachability/reachability.go
+++ b/serving/process/reachability/reachability.go
@@ -30,10 +30,13 @@
 	// suspectedServers is the number of servers that have to fail within failureTTL.
 	suspectedServers = 2
 	failureTTL       = 3 * time.Second
-	// maxSilence is how long at least silentRequests in flight may all be silent. A single server may
-	// fall silent for about a second.
+	// maxSilence is how long at least silentRequests in flight may all be silent before servers are
+	// probed. A single server may fall silent for about a second.
 	maxSilence     = 1200 * time.Millisecond
 	silentRequests = 2
+	// hungSilence is how long they have to be silent if servers accept connections and don't answer a
+	// probe, as busy servers may do for a moment.
+	hungSilence = 2 * time.Second
 	// suspectPeriod is the smallest interval between probes while servers are reachable, and
 	// isolatedPeriod that while they are not.
 	suspectPeriod  = time.Second
@@ -110,7 +113,7 @@
 func (d *Detector) Step(now time.Time) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if now.Before(d.nextProbe) || !(d.isolated || d.hasFailures(now) || d.isSilent(now)) {
+	if now.Before(d.nextProbe) || !(d.isolated || d.hasFailures(now) || d.isSilent(now, maxSilence)) {
 		return false
 	}
 	d.nextProbe = now.Add(suspectPeriod)
@@ -129,8 +132,8 @@
 	return len(d.failed) >= suspectedServers
 }
 
-func (d *Detector) isSilent(now time.Time) bool {
-	return d.inFlight >= silentRequests && now.Sub(d.waitingSince) >= maxSilence
+func (d *Detector) isSilent(now time.Time, lasts time.Duration) bool {
+	return d.inFlight >= silentRequests && now.Sub(d.waitingSince) >= lasts
 }
 
 // Probed records a probe. It returns true if the instance is isolated from now on, or no longer.
@@ -161,7 +164,7 @@
 
 // begin begins an isolation if a probe shows it.
 func (d *Detector) begin(now time.Time, probe Probe) bool {
-	silent := probe.Answered == 0 && d.isSilent(now)
+	silent := probe.Answered == 0 && d.isSilent(now, hungSilence)
 	if probe.Open > 0 && !silent {
 		clear(d.failed)
 		return false
