--- a/entry/relay/request.go
+++ b/entry/relay/request.go
@@ -170,11 +170,8 @@
 
 // isFinal reports whether another instance would refuse the request as well, or nobody waits for it.
 func isFinal(err error) bool {
-	switch problem.From(err).Kind {
-	case problem.BackendRefused, problem.NoBackend:
-		return false
-	}
-	return true
+	kind := problem.From(err).Kind
+	return kind != problem.BackendRefused && kind != problem.NoBackend
 }
 
 func (r *requestState) routeRequest() route.Request {
--- a/entry/site/duties.go
+++ b/entry/site/duties.go
@@ -169,8 +169,9 @@
 
 // fixWindows fixes the counts of windows by one conditional write. Counts that were fixed
 // before do not change, also if the store has lost them since. A window is left out if it may have been
-// reported in an earlier generation of the store and no instance knows its counts. All windows use the same read of the records and the same round of
-// queries, so that a takeover costs no more than a single window.
+// reported in an earlier generation of the store and no instance knows its counts. All windows use the
+// same read of the records and the same round of queries, so that a takeover costs no more than a
+// single window.
 func (s *Site) fixWindows(ctx context.Context, numbers []int64) (map[int64]usage.Counts, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
--- a/entry/site/generation.go
+++ b/entry/site/generation.go
@@ -24,8 +24,9 @@
 // that of the leases.
 type generationState struct {
 	mu sync.Mutex
-	// observed is the generation to which this process's leases belong.
-	observed uint64
+	// observed is the generation to which this process's leases belong, and earliest the first one
+	// that it has seen.
+	observed, earliest uint64
 	// marker is the last marker that was read or written.
 	marker generation.Marker
 }
@@ -43,6 +44,9 @@
 		s.logger("site").WithFields(logrus.Fields{"generation": now, "before": before}).
 			Warn("site: the store has lost acknowledged writes, they are written again")
 	}
+	if s.generation.earliest == 0 {
+		s.generation.earliest = now
+	}
 	s.generation.observed = now
 	s.leases.Invalidate()
 	return now
@@ -81,13 +85,16 @@
 }
 
 // writeGenerationMarker writes the marker of a generation. A store without any keys of entry
-// instances is used for the first time and can't have lost any.
+// instances is used for the first time, unless this process has seen an earlier generation.
 func (s *Site) writeGenerationMarker(ctx context.Context, present, ifRevision uint64) (generation.Marker, error) {
 	own, err := s.platform.Store.List(ctx, ownPrefix)
 	if err != nil {
 		return generation.Marker{}, err
 	}
-	marker := generation.Begin(present, s.calendar.Now(), len(own.Entries) == 0)
+	s.generation.mu.Lock()
+	first := len(own.Entries) == 0 && s.generation.earliest == present
+	s.generation.mu.Unlock()
+	marker := generation.Begin(present, s.calendar.Now(), first)
 	value, err := marker.Encode()
 	if err != nil {
 		return generation.Marker{}, err
--- a/entry/site/generation_test.go
+++ b/entry/site/generation_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"papayaport.dev/serving/process/generation"
+	"papayaport.dev/serving/process/platform"
 	"papayaport.dev/serving/process/platform/store"
 	"papayaport.dev/serving/process/usage"
 )
@@ -63,6 +64,21 @@
 	}
 }
 
+// TestEmptyStoreOfANewGeneration guards against an empty store that is taken for a new one by an
+// instance that has seen an earlier generation.
+func TestEmptyStoreOfANewGeneration(t *testing.T) {
+	s, keys := newTestSite(t), newFakeStore()
+	s.platform.Store, keys.generation = keys, 1
+	marker, err := s.generationMarker(context.Background())
+	require.NoError(t, err)
+	require.True(t, marker.First)
+	keys.generation, keys.entries = 2, map[string]platform.Entry{}
+	marker, err = s.generationMarker(context.Background())
+	require.NoError(t, err)
+	require.True(t, marker.Names(2))
+	require.False(t, marker.First)
+}
+
 // TestSumsOfALostWindow guards against a second sum for a window that was reported in an earlier
 // generation of the store.
 func TestSumsOfALostWindow(t *testing.T) {
--- a/entry/site/record.go
+++ b/entry/site/record.go
@@ -189,7 +189,7 @@
 		s.logger("record").WithError(err).Error("record: not encoded")
 		return
 	}
-	sentAt, generation := clock.Boot(), s.observeGeneration()
+	sentAt, before := clock.Boot(), s.observeGeneration()
 	if _, err := s.platform.Store.Put(ctx, entriesPrefix+s.settings.Instance, value, store.AnyRevision); err != nil {
 		s.logger("record").WithError(err).Warn("record: not written, tried again")
 		return
@@ -198,11 +198,11 @@
 		s.startCredit.setDue()
 		s.grantStartCredit()
 	}
-	if generation != s.observeGeneration() {
+	if before != s.observeGeneration() {
 		s.logger("record").Warn("record: may be lost with an earlier generation of the store, tried again")
 		return
 	}
-	s.record.generation = generation
+	s.record.generation = before
 	s.record.deficits.Stored(deficits)
 	s.record.dirty, s.record.writtenAt = false, sentAt
 	s.own.RecordWrite(sentAt)
