--- a/entry/gateway/cluster_test.go
+++ b/entry/gateway/cluster_test.go
@@ -116,11 +116,12 @@
 	log.SetOutput(io.Discard)
 	files := fixedConfiguration{"model-bench": modelFile(), "desk-app": plainFile()}
 	for i, name := range entries {
-		random := rand.New(rand.NewPCG(uint64(i), 7))
-		routes, err := route.New(route.Self{Region: "r", FailureDomain: "a"}, route.LeastInFlight, random)
+		// Each table guards its own random source only.
+		seeded := func(table uint64) *rand.Rand { return rand.New(rand.NewPCG(uint64(i), table)) }
+		routes, err := route.New(route.Self{Region: "r", FailureDomain: "a"}, route.LeastInFlight, seeded(7))
 		require.NoError(t, err)
 		deps := Dependencies{
-			Configuration: files, Routes: routes, Admission: admission.New(), Retries: retry.New(random),
+			Configuration: files, Routes: routes, Admission: admission.New(), Retries: retry.New(seeded(8)),
 			Actions: unavailableActions{}, Peers: &localPeers{self: name, gateways: c.gateways},
 			Pool: pool.New(pool.DefaultOptions), Metrics: NewMetrics(metrics.NewSet()),
 			Limits: settings.Defaults().Limits, Clock: time.Now, Log: log.WithField("part", "gateway"),
