--- a/serving/process/logging/logging.go
+++ b/serving/process/logging/logging.go
@@ -4,8 +4,7 @@
 // # Usage
 //
 //	out := logging.New(os.Stdout, logging.DefaultLines)
-//	log := logrus.New()
-//	log.SetOutput(out)
+//	log, err := logging.NewLogger(out, "info")
 //	defer out.Close(time.Second)
 package logging
 
@@ -15,6 +14,9 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
 )
 
 // DefaultLines is the default length of the queue in lines: some seconds of a busy entry instance,
@@ -48,6 +50,19 @@
 	return len(line), nil
 }
 
+// NewLogger returns a logger that writes JSON lines with milliseconds. The level is one of logrus.
+func NewLogger(out io.Writer, level string) (*logrus.Logger, error) {
+	log := logrus.New()
+	log.SetOutput(out)
+	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: "2006-01-02T15:04:05.000Z07:00"})
+	parsed, err := logrus.ParseLevel(level)
+	if err != nil {
+		return nil, errors.Wrap(err, "log level")
+	}
+	log.SetLevel(parsed)
+	return log, nil
+}
+
 // Dropped returns the number of lines that were dropped so far.
 func (w *Writer) Dropped() int64 { return w.dropped.Load() }
 
