Take the marker of another instance at a common start

Instances that start together write the marker of the store's generation at the same time; all but one got a conflict and loaded their record 250 ms later, so the retry budget was not there yet. They now take the marker from the conflict (TestMarkerOfAnotherInstance, a conflict error before).

--- a/entry/site/generation.go
+++ b/entry/site/generation.go
@@ -74,7 +74,15 @@
 		s.logger("site").WithError(err).Warn("site: marker of the store's generation is replaced")
 	}
 	if !marker.Names(present) {
-		if marker, err = s.writeGenerationMarker(ctx, present, entry.Revision); err != nil {
+		marker, err = s.writeGenerationMarker(ctx, present, entry.Revision)
+		var conflict *store.Conflict
+		if errors.As(err, &conflict) { // instances that start together write it at the same time
+			marker, err = generation.Decode(conflict.Entry.Value)
+		}
+		if err == nil && !marker.Names(present) {
+			err = errors.Wrap(store.ErrUnavailable, "marker of another generation")
+		}
+		if err != nil {
 			return generation.Marker{}, err
 		}
 	}
--- a/entry/site/generation_test.go
+++ b/entry/site/generation_test.go
@@ -79,6 +79,33 @@
 	require.False(t, marker.First)
 }
 
+// lateStore is a store in which another instance writes the marker just before this one.
+type lateStore struct{ *fakeStore }
+
+// List implements Store.
+func (l lateStore) List(ctx context.Context, prefix string) (platform.Entries, error) {
+	listed, err := l.fakeStore.List(ctx, prefix)
+	value, encodeErr := generation.Begin(l.generation, time.Now(), true).Encode()
+	if encodeErr != nil {
+		return listed, encodeErr
+	}
+	if _, putErr := l.Put(ctx, generationKey, value, 0); putErr != nil {
+		return listed, putErr
+	}
+	return listed, err
+}
+
+// TestMarkerOfAnotherInstance guards against instances that wait at their common start because another
+// one has written the marker first.
+func TestMarkerOfAnotherInstance(t *testing.T) {
+	s := newTestSite(t)
+	keys := lateStore{newFakeStore()}
+	s.platform.Store, keys.generation = keys, 1
+	marker, err := s.generationMarker(context.Background())
+	require.NoError(t, err)
+	require.True(t, marker.First)
+}
+
 // TestSumsOfALostWindow guards against a second sum for a window that was reported in an earlier
 // generation of the store.
 func TestSumsOfALostWindow(t *testing.T) {
